--- a/stoatwinch/benchlink.py
+++ b/shaletiller/adapter.py
@@ -7,11 +7,12 @@
 
 import json
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, TextIO
 
-from stoatwinch import interface as i
-from stoatwinch.choice import Scheduler
+from shaletiller import interface as i
+from shaletiller.logic import Scheduler
+from shaletiller.settings import read_settings
 
 OUTCOMES = {
     "completed": i.Outcome.OK,
@@ -23,82 +24,13 @@
     "recalled": i.Outcome.CANCELLED,
     "superseded": i.Outcome.MOOT,
 }
-EFFECTS = {
-    "read_like": i.Effect.SAFE,
-    "idempotency_key": i.Effect.KEYED,
-    "non_idempotent": i.Effect.UNSAFE,
-}
 REPEAT_BIT, WRITE_BIT = 2, 4
 
-CLASS_KEYS = {
-    "name": "name", "target-ms": "aim_ms", "hard-limit-ms": "deadline_ms", "importance": "worth",
-    "late-share": "late_share", "key-ttl-ms": "key_ttl_ms", "by-arrival": "in_order",
-    "streaming": "streaming",
-}
-PLAN_KEYS = {
-    "name": "name", "base-rate": "base_rate", "reserve": "reserve", "proportion": "weight",
-    "value-factor": "price", "ceiling-rate": "limit_rate", "burst": "limit_burst", "slack": "limit_slack",
-}
-SETTING_KEYS = {
-    "": {"position": "position", "balancers": "hosts", "zone": "zone", "tick-ms": "tick_ms"},
-    "domain": {
-        "mean-units": "mean_units", "most-units": "most_units", "within-share": "share_worth",
-        "beyond-share": "beyond_worth", "meter-ms": "meter_ms", "counts-others": "counts_others",
-        "cold-bears": "cold_units",
-    },
-    "limits": {
-        "max-attempts": "max_attempts", "second-copies": "second_copies", "cancel": "may_cancel",
-        "probes": "may_probe", "peers": "may_tell", "retry-after": "retry_advice",
-        "max-retry-after-ms": "max_retry_after_ms",
-    },
-    "clients": {"marks-retry": "marks_repeats"},
-    "obligations": {
-        "answer-slack-ms": "answer_slack_ms", "drain-grace-ms": "drain_grace_ms",
-        "fall-multiple": "fall_multiple", "fall-ms": "fall_ms", "start-capacity": "start_capacity",
-        "ramp-time-ms": "ramp_ms", "turn-gap-ms": "turn_gap_ms", "extra-free": "budget_free",
-        "budget-share": "budget_share", "budget-span-ms": "budget_span_ms", "ask-within-ms": "ask_within_ms",
-    },
-    "deductions": {"probe": "probe_price", "peer": "tell_price", "waste": "waste_price"},
-}
-
 
 class WireError(Exception):
     """A line that is not what the wire promises."""
 
 
-def _picked(source: Mapping[str, Any], keys: Mapping[str, str]) -> dict[str, Any]:
-    """The known keys that are present, under the interface's names."""
-    return {ours: source[theirs] for theirs, ours in keys.items() if source.get(theirs) is not None}
-
-
-def read_class(source: Mapping[str, Any], writes: bool) -> i.ClassSpec:
-    """A class of requests from the first message."""
-    known = _picked(source, CLASS_KEYS)
-    if source.get("effect") is not None:
-        known["effect"] = EFFECTS[source["effect"]]
-    if source.get("dedup-scope") is not None:
-        known["scope"] = i.Scope(source["dedup-scope"])
-    return i.ClassSpec(writes=writes, **known)
-
-
-def read_settings(info: Mapping[str, Any]) -> i.Settings:
-    """The settings of the first message; keys that are absent keep the interface's neutral value."""
-    known: dict[str, Any] = {}
-    for section, keys in SETTING_KEYS.items():
-        known.update(_picked(info.get(section) or {} if section else info, keys))
-    writes = (info.get("domain") or {}).get("writes") or []
-    classes = tuple(
-        read_class(each, bool(writes[at]) if at < len(writes) else False)
-        for at, each in enumerate(info.get("classes") or [])
-    )
-    plans = tuple(i.PlanSpec(**_picked(each, PLAN_KEYS)) for each in info.get("contracts") or [])
-    columns = tuple((info.get("load-info") or {}).get("columns") or ())
-    return i.Settings(
-        classes=classes, plans=plans, subscribed=info.get("discovery") == "subscribe",
-        report_columns=columns, **known,
-    )
-
-
 def _report(value: Any) -> tuple[tuple[str, float], ...]:
     """A load report: an object, or pairs."""
     if not value:
@@ -236,7 +168,7 @@
         try:
             reply = link.reply(line)
         except WireError as error:
-            print(f"stoatwinch: input line {number}: {error}", file=trouble)
+            print(f"shaletiller: input line {number}: {error}", file=trouble)
             return 2
         target.write(reply + "\n")
         target.flush()
--- a/stoatwinch/interface.py
+++ b/shaletiller/interface.py
@@ -147,13 +147,17 @@
     tell_price: float = 0.0
     waste_price: float = 0.0
     report_columns: tuple[str, ...] = ()
+    conn_idle_ms: float = 30000.0
+    connect_timeout_ms: float = 250.0
 
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one class is needed")
         if not self.plans:
             raise ValueError("plans: at least one plan is needed")
-        for name in ("hosts", "mean_units", "most_units", "max_attempts"):
+        for name in (
+            "hosts", "mean_units", "most_units", "max_attempts", "conn_idle_ms", "connect_timeout_ms",
+        ):
             _positive(name, getattr(self, name))
         for name in ("fall_ms", "ramp_ms", "cold_units", "turn_gap_ms", "budget_share", "budget_span_ms"):
             _not_negative(name, getattr(self, name))
--- a/stoatwinch/choice.py
+++ b/shaletiller/logic.py
@@ -1,6 +1,6 @@
-"""Every decision of stoatwinch: cost-based admission control at a host, after Chen and Verma.
+"""Every decision of shaletiller: cost-based admission control at a host, after Chen and Verma.
 
-Types, events and actions: stoatwinch/interface.py.  What is kept, changed and why: docs/design.md.
+Types, events and actions: shaletiller/interface.py.  What is kept, changed and why: docs/design.md.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from functools import lru_cache
 from typing import Any
 
-from stoatwinch import interface as i
+from shaletiller import interface as i
 
 ROUND_PART = 0.5  # a round lasts this part of the tightest aim
 START_REQUESTS = 4  # a node's first capacity, in requests of each class
--- /dev/null
+++ b/shaletiller/settings.py
@@ -0,0 +1,112 @@
+"""The one decode of the settings object: the simulator's first message and a real gateway's configuration
+hold the same one."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from shaletiller.interface import Settings
+
+EFFECTS = {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"}
+CLASS_KEYS = {
+    "name": "name", "target-ms": "aim_ms", "hard-limit-ms": "deadline_ms", "importance": "worth",
+    "late-share": "late_share", "key-ttl-ms": "key_ttl_ms", "by-arrival": "in_order",
+    "streaming": "streaming", "dedup-scope": "scope", "effect": "effect",
+}
+PLAN_KEYS = {
+    "name": "name", "base-rate": "base_rate", "reserve": "reserve", "proportion": "weight",
+    "value-factor": "price", "ceiling-rate": "limit_rate", "burst": "limit_burst", "slack": "limit_slack",
+}
+SETTING_KEYS = {
+    "": {"position": "position", "balancers": "hosts", "zone": "zone", "tick-ms": "tick_ms"},
+    "domain": {
+        "mean-units": "mean_units", "most-units": "most_units", "within-share": "share_worth",
+        "beyond-share": "beyond_worth", "meter-ms": "meter_ms", "counts-others": "counts_others",
+        "cold-bears": "cold_units",
+    },
+    "limits": {
+        "max-attempts": "max_attempts", "second-copies": "second_copies", "cancel": "may_cancel",
+        "probes": "may_probe", "peers": "may_tell", "retry-after": "retry_advice",
+        "max-retry-after-ms": "max_retry_after_ms", "conn-idle-ms": "conn_idle_ms",
+        "connect-timeout-ms": "connect_timeout_ms",
+    },
+    "clients": {"marks-retry": "marks_repeats"},
+    "obligations": {
+        "answer-slack-ms": "answer_slack_ms", "drain-grace-ms": "drain_grace_ms",
+        "fall-multiple": "fall_multiple", "fall-ms": "fall_ms", "start-capacity": "start_capacity",
+        "ramp-time-ms": "ramp_ms", "turn-gap-ms": "turn_gap_ms", "extra-free": "budget_free",
+        "budget-share": "budget_share", "budget-span-ms": "budget_span_ms", "ask-within-ms": "ask_within_ms",
+    },
+    "deductions": {"probe": "probe_price", "peer": "tell_price", "waste": "waste_price"},
+    "load-info": {"columns": "report_columns"},
+}
+# What the keys above are called in the site's own words, to name a faulty one.
+SITE_NAMES = {
+    ours: f"{section}.{theirs}" if section else theirs
+    for section, keys in SETTING_KEYS.items() for theirs, ours in keys.items()
+}
+LIST_NAMES = {
+    "classes": ("classes", {ours: theirs for theirs, ours in CLASS_KEYS.items()}),
+    "plans": ("contracts", {ours: theirs for theirs, ours in PLAN_KEYS.items()}),
+}
+
+
+def _picked(source: Any, keys: Mapping[str, str], where: str) -> dict[str, Any]:
+    """The known keys that are present, under the interface's names."""
+    if not isinstance(source, Mapping):
+        raise ValueError(f"{where}: wants an object")
+    return {ours: source[theirs] for theirs, ours in keys.items() if source.get(theirs) is not None}
+
+
+def _rows(info: Mapping[str, Any], name: str) -> list[Any]:
+    rows = info.get(name) or []
+    if not isinstance(rows, list):
+        raise ValueError(f"{name}: wants a list")
+    return rows
+
+
+def _class(source: Any, at: int, writes: list[Any]) -> dict[str, Any]:
+    known = _picked(source, CLASS_KEYS, f"classes[{at}]")
+    if "effect" in known:
+        if known["effect"] not in EFFECTS:
+            raise ValueError(f"classes[{at}].effect: unknown value {known['effect']!r}")
+        known["effect"] = EFFECTS[known["effect"]]
+    return {**known, "writes": bool(writes[at]) if at < len(writes) else False}
+
+
+def read_settings(info: Mapping[str, Any]) -> Settings:
+    """The settings; absent and unknown keys are no fault, a ValueError names a faulty one."""
+    known: dict[str, Any] = {}
+    for section, keys in SETTING_KEYS.items():
+        known.update(_picked(info.get(section) or {} if section else info, keys, section or "settings"))
+    domain: Mapping[str, Any] = info.get("domain") or {}
+    writes = _rows(domain, "writes")
+    known["classes"] = [_class(each, at, writes) for at, each in enumerate(_rows(info, "classes"))]
+    known["plans"] = [
+        _picked(each, PLAN_KEYS, f"contracts[{at}]") for at, each in enumerate(_rows(info, "contracts"))
+    ]
+    known["subscribed"] = info.get("discovery") == "subscribe"
+    try:
+        return msgspec.convert(known, Settings)
+    except msgspec.ValidationError as error:
+        raise ValueError(_in_site_words(str(error))) from error
+
+
+def _in_site_words(text: str) -> str:
+    """msgspec's message, with the faulty key first and named as the site names it."""
+    message, _, path = text.partition(" - at `$")
+    found = re.fullmatch(r"\.?(\w*)(\[(?:\d+|\.\.\.)\])?(?:\.(\w+))?`", path)
+    if found is None:
+        return next((f"{SITE_NAMES[name]}{text.removeprefix(name)}" for name in SITE_NAMES
+                     if text.startswith(name + ":")), text)
+    top, index, key = found.groups()
+    if top in LIST_NAMES:
+        shown, keys = LIST_NAMES[top]
+        name, _, rest = message.partition(":")
+        key, message = (name, rest.strip()) if key is None and name in keys else (key, message)
+        return f"{shown}{index or ''}{'.' + keys.get(key, key) if key else ''}: {message}"
+    return f"{SITE_NAMES.get(top, top)}: {message}" if top else message
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from stoatwinch import interface as i
-from stoatwinch.choice import Scheduler
+from shaletiller import interface as i
+from shaletiller.logic import Scheduler
 
 SAFE = i.ClassSpec("read", aim_ms=250, deadline_ms=1200, worth=3, late_share=0.2, effect=i.Effect.SAFE)
 PLAN = i.PlanSpec("basic", base_rate=4, reserve=2)
--- a/tests/test_benchlink.py
+++ b/tests/test_adapter.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from stoatwinch.benchlink import main
+from shaletiller.adapter import main
 
 INFO: dict[str, Any] = {
     "balancers": 2, "position": 0, "zone": "a", "discovery": "automatic", "tick-ms": 2.0, "unheard-of": [1],
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from stoatwinch import interface as i
+from shaletiller import interface as i
 from tests.helpers import Host, entry
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from stoatwinch import interface as i
+from shaletiller import interface as i
 from tests.helpers import PLAN, SAFE, Host, entry, kinds, settings
 
 O = i.Outcome  # noqa: E741
