--- /dev/null
+++ b/shaletiller/__main__.py
@@ -0,0 +1,38 @@
+"""The real gateway: `python -m shaletiller`."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+from shaletiller.config import Config, ConfigError, read_config
+from shaletiller.gateway import Gateway
+from shaletiller.log import log
+
+
+async def serve(config: Config) -> None:
+    """Run until SIGTERM or SIGINT."""
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, told.set)
+    loop.set_exception_handler(lambda _, what: log(f"{what.get('message')}: {what.get('exception')!r}"))
+    gateway = Gateway(config)
+    await gateway.start()
+    await told.wait()
+    await gateway.stop()
+
+
+def main() -> int:
+    try:
+        config = read_config()
+    except ConfigError as error:
+        print(f"shaletiller: {error}", file=sys.stderr)
+        return 2
+    asyncio.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/shaletiller/config.py
@@ -0,0 +1,246 @@
+"""The one place where configuration is read, checked and given its defaults.
+
+Sources: the JSON file named by EDGE_CONFIG, the variables EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY (they
+win over the file), the OTLP variables of OpenTelemetry, and deploy/nvme.toml.  A faulty key is named in a
+ConfigError.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from shaletiller.interface import Settings
+from shaletiller.settings import read_settings
+
+NVME_FILE = Path(__file__).parent.parent / "deploy" / "nvme.toml"
+RESERVED_SOCKETS = 64  # listeners, discovery, peers, export, and the interpreter's own files
+
+
+class ConfigError(Exception):
+    """Something is wrong with the configuration; the message starts with the key."""
+
+
+class ServerRow(msgspec.Struct, frozen=True):
+    """A storage node as discovery writes it."""
+
+    id: str
+    addr: str = ""
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    state: str = "active"
+    weight: float = 1.0
+    started_ms: float = 0.0
+
+
+class ServerList(msgspec.Struct, frozen=True):
+    """Discovery's whole list, or what changed in it."""
+
+    version: int = 0
+    full: bool = False
+    servers: tuple[ServerRow, ...] = ()
+
+
+class Limits(msgspec.Struct, frozen=True):
+    cores: float = 1.0
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 192.0
+    sockets: Annotated[int, msgspec.Meta(ge=128)] = 1024
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """The configuration file, its settings still as the site wrote them."""
+
+    settings: dict[str, Any]
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str | int = 0
+    limits: Limits = Limits()
+    peer_listen: str = ""
+    peers: tuple[str, ...] = ()
+    peers_all: str = ""
+    known: ServerList = ServerList()
+
+
+class NvmeNamespace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A namespace that the NVMe front offers: block b is the object of key `first_key` + b."""
+
+    nsid: Annotated[int, msgspec.Meta(ge=1, le=1024)]
+    blocks: Annotated[int, msgspec.Meta(ge=1)]
+    read_class: str
+    write_class: str
+    plan: str
+    volume: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{16}$")]
+    shard: Annotated[int, msgspec.Meta(ge=0)]
+    first_key: Annotated[int, msgspec.Meta(ge=0)] = 0
+    units: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    hosts: Annotated[int, msgspec.Meta(ge=1)] = 1
+    block_bytes: Annotated[int, msgspec.Meta(ge=512, le=65536)] = 4096
+    read_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 750.0
+    write_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 1200.0
+
+
+class NvmeBox(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A node that speaks NVMe: the object of key k is block k - `first_key` of its namespace."""
+
+    node: str
+    subsystem: str
+    nsid: Annotated[int, msgspec.Meta(ge=1)] = 1
+    first_key: Annotated[int, msgspec.Meta(ge=0)] = 0
+    block_bytes: Annotated[int, msgspec.Meta(ge=512, le=65536)] = 4096
+
+
+class NvmeFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    listen: str = ""  # empty: the front is off
+    subsystem: str = "nqn.2026-12.example.shaletiller:gateway"
+    queue_depth: Annotated[int, msgspec.Meta(ge=2, le=1024)] = 32
+    connections: Annotated[int, msgspec.Meta(ge=1, le=256)] = 64
+    namespace: tuple[NvmeNamespace, ...] = ()
+
+
+class NvmeConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    front: NvmeFront = NvmeFront()
+    box: tuple[NvmeBox, ...] = ()
+
+
+class Telemetry(msgspec.Struct, frozen=True):
+    endpoint: str = ""  # empty: nothing is exported
+    interval_ms: Annotated[float, msgspec.Meta(gt=0)] = 5000.0
+    sample: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
+
+
+class Config(msgspec.Struct, frozen=True):
+    """All that the gateway is told."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    peer_listen: tuple[str, int] | None
+    peers: tuple[tuple[str, int], ...]
+    peers_all: tuple[str, int] | None
+    known: ServerList
+    settings: Settings
+    nvme: NvmeConfig
+    telemetry: Telemetry
+
+    @property
+    def front_sockets(self) -> int:
+        """What clients may hold: with the back's part and the reserve it stays within the limit."""
+        return (self.limits.sockets - RESERVED_SOCKETS) // 2
+
+    @property
+    def back_sockets(self) -> int:
+        return self.limits.sockets - RESERVED_SOCKETS - self.front_sockets
+
+
+def read_address(text: str, key: str) -> tuple[str, int]:
+    """host:port; ValueErrors become a ConfigError that names the key."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: wants host:port, got {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def _seed(value: str | int) -> int:
+    try:
+        return value if isinstance(value, int) else int(value, 16)
+    except ValueError as error:
+        raise ConfigError(f"seed: wants hex digits, got {value!r}") from error
+
+
+def _faulty(error: msgspec.MsgspecError) -> str:
+    """msgspec's message with the key first."""
+    message, _, path = str(error).partition(" - at `$")
+    return f"{path.rstrip('`').lstrip('.')}: {message}" if path else message
+
+
+def read_nvme(path: Path) -> NvmeConfig:
+    """The NVMe file; absent, both its front and its boxes are off."""
+    if not path.exists():
+        return NvmeConfig()
+    try:
+        found = msgspec.toml.decode(path.read_bytes(), type=NvmeConfig)
+    except msgspec.MsgspecError as error:
+        raise ConfigError(f"{path.name}: {_faulty(error)}") from error
+    if found.front.listen:
+        read_address(found.front.listen, f"{path.name}: front.listen")
+    blocks = [space.block_bytes for space in found.front.namespace] + [box.block_bytes for box in found.box]
+    for at, block in enumerate(blocks):
+        if block & (block - 1):
+            raise ConfigError(f"{path.name}: block_bytes: wants a power of two, got {block} (entry {at})")
+    for what, names in (
+        ("front.namespace.nsid", [each.nsid for each in found.front.namespace]),
+        ("box.node", [each.node for each in found.box]),
+    ):
+        if len(set(names)) < len(names):
+            raise ConfigError(f"{path.name}: {what}: the same value stands twice")
+    return found
+
+
+def _check_nvme(nvme: NvmeConfig, settings: Settings) -> None:
+    classes = {spec.name: spec for spec in settings.classes}
+    plans = {plan.name for plan in settings.plans}
+    if not nvme.front.listen:
+        return
+    for at, space in enumerate(nvme.front.namespace):
+        key = f"nvme.toml: front.namespace[{at}]"
+        for name, value in (("read_class", space.read_class), ("write_class", space.write_class)):
+            if value not in classes:
+                raise ConfigError(f"{key}.{name}: unknown class {value!r}")
+        if space.plan not in plans:
+            raise ConfigError(f"{key}.plan: unknown plan {space.plan!r}")
+        if space.units > settings.most_units:
+            raise ConfigError(f"{key}.units: at most {settings.most_units}, got {space.units}")
+
+
+def _telemetry(env: Mapping[str, str]) -> Telemetry:
+    raw = {
+        "endpoint": env.get("OTEL_EXPORTER_OTLP_ENDPOINT", ""),
+        "interval_ms": env.get("OTEL_METRIC_EXPORT_INTERVAL", "5000"),
+        "sample": env.get("OTEL_TRACES_SAMPLER_ARG", "0.05"),
+    }
+    try:
+        return msgspec.convert(raw, Telemetry, strict=False)
+    except msgspec.ValidationError as error:
+        names = {"interval_ms": "OTEL_METRIC_EXPORT_INTERVAL", "sample": "OTEL_TRACES_SAMPLER_ARG"}
+        key, _, message = _faulty(error).partition(":")
+        raise ConfigError(f"{names.get(key, key)}:{message}") from error
+
+
+def read_config(env: Mapping[str, str] = os.environ, nvme_file: Path = NVME_FILE) -> Config:
+    """All configuration, checked; ConfigError names the faulty key."""
+    path = env.get("EDGE_CONFIG", "")
+    if not path:
+        raise ConfigError("EDGE_CONFIG: not set")
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"EDGE_CONFIG: cannot read {path!r}: {error.strerror}") from error
+    try:
+        told = msgspec.json.decode(raw, type=Identity)
+    except msgspec.MsgspecError as error:
+        raise ConfigError(f"EDGE_CONFIG: {_faulty(error)}") from error
+    try:
+        settings = read_settings(told.settings)
+    except ValueError as error:
+        raise ConfigError(f"settings.{error}") from error
+    nvme = read_nvme(nvme_file)
+    _check_nvme(nvme, settings)
+    return Config(
+        name=env.get("EDGE_NAME") or told.name,
+        listen=read_address(env.get("EDGE_LISTEN") or told.listen, "EDGE_LISTEN"),
+        discovery=read_address(env.get("EDGE_DISCOVERY") or told.discovery, "EDGE_DISCOVERY"),
+        seed=_seed(told.seed),
+        limits=told.limits,
+        peer_listen=read_address(told.peer_listen, "peer_listen") if told.peer_listen else None,
+        peers=tuple(read_address(each, f"peers[{at}]") for at, each in enumerate(told.peers)),
+        peers_all=read_address(told.peers_all, "peers_all") if told.peers_all else None,
+        known=told.known, settings=settings, nvme=nvme, telemetry=_telemetry(env),
+    )
--- /dev/null
+++ b/shaletiller/core/admit.py
@@ -0,0 +1,21 @@
+"""Admit: a call is put before the decision module."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from shaletiller import interface as i
+from shaletiller.core.model import Exchange
+
+
+class Admit:
+    def __init__(self, decide: Callable[[i.Event], None]) -> None:
+        self._decide = decide
+
+    def __call__(self, exchange: Exchange) -> None:
+        call = exchange.call
+        self._decide(i.Request(
+            request=call.id, shard=call.shard, extent=call.key, plan=call.plan, service=call.service,
+            volume=call.volume, units=call.units, expires_in_ms=call.timeout_ms, volume_hosts=call.hosts,
+            repeat=call.repeat, write=call.write,
+        ))
--- /dev/null
+++ b/shaletiller/core/engine.py
@@ -0,0 +1,180 @@
+"""The engine: it tells the decision module what happens and does what the module asks for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from shaletiller import interface as i
+from shaletiller.clock import Clock
+from shaletiller.core.admit import Admit
+from shaletiller.core.book import Book
+from shaletiller.core.model import Answer, Attempt, Call, Exchange, Reply, Verdict
+from shaletiller.core.relay import Relay
+from shaletiller.core.route import Place, Route
+from shaletiller.core.send import Send
+from shaletiller.core.take_in import TakeIn
+from shaletiller.log import log
+from shaletiller.logic import Scheduler
+
+GUARD_MS = 15.0  # past the deadline and within the rule's slack: the module's own answer comes first
+
+
+class Engine:
+    """One gateway's requests, from all fronts, under one decision module."""
+
+    def __init__(self, settings: i.Settings, seed: int, clock: Clock) -> None:
+        self.settings = settings
+        self.counts: dict[str, int] = {}
+        self.table: dict[str, Exchange] = {}
+        self.tell: Callable[[int | None, str], None] = lambda peer, data: None
+        self.fetch_list: Callable[[], None] = lambda: None
+        self._clock = clock
+        self._scheduler = Scheduler(settings, seed)
+        self._safe = {spec.name for spec in settings.classes if spec.effect is i.Effect.SAFE}
+        self._events: deque[i.Event] = deque()
+        self._deciding = False
+        self._background: set[asyncio.Task[None]] = set()
+        self.relay = Relay(self.table, self.counts)
+        self.take_in = TakeIn(settings, clock, self.table)
+        self.admit = Admit(self.decide)
+        self.route = Route(settings.max_attempts, settings.second_copies)
+        self.book = Book(clock, self.relay, self.decide, self.counts)
+        self.send = Send(clock, self.book)
+        self._doers: dict[type, Callable[[Any], None]] = {
+            i.Send: self._on_send, i.Refuse: self._on_refuse, i.Fail: self._on_fail,
+            i.Cancel: self._on_cancel, i.SetTimer: self._on_timer, i.Probe: self._on_probe,
+            i.Tell: lambda act: self.tell(act.peer, act.data),
+            i.Subscribe: lambda act: None,  # the list is watched all the time
+            i.FetchList: lambda act: self.fetch_list(),
+            i.CloseIdle: self._on_close_idle, i.Log: lambda act: log(act.line),
+        }
+
+    # ---- what happens
+
+    def call(self, call: Call, answer: Callable[[Answer], None]) -> Exchange:
+        """A client's call; BadCall where no node must see it.  The answer may come before this returns."""
+        exchange = self.take_in(call, answer)
+        wait_ms = call.timeout_ms + GUARD_MS
+        exchange.guard = self._clock.call_later(wait_ms, self._on_guard, exchange)
+        self.admit(exchange)
+        return exchange
+
+    def client_left(self, exchange: Exchange) -> None:
+        """Nothing is owed any more; what is out is given up."""
+        if exchange.over:
+            return
+        self.relay.left(exchange)
+        for attempt in exchange.attempts:
+            self.send.stop(attempt, i.Outcome.CANCELLED)
+        self.decide(i.ClientLeft(exchange.call.id))
+
+    def nodes(self, kind: i.ListKind, version: int, places: tuple[Place, ...]) -> None:
+        """News of the node list."""
+        self.route.learn(places)
+        self.decide(i.NodeList(kind, tuple(place.entry for place in places), version))
+
+    def decide(self, event: i.Event) -> None:
+        """Tell the module; events that its actions cause follow in turn, never in the midst of another."""
+        self._events.append(event)
+        if self._deciding:
+            return
+        self._deciding = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._deciding = False
+
+    def _handle(self, event: i.Event) -> None:
+        # An error in the module or in one action ends neither the process nor another request: the guard
+        # still answers what is left hanging.
+        try:
+            actions = self._scheduler.handle(self._clock.now_ms(), event)
+        except Exception as error:
+            log(f"decision on {type(event).__name__} broke: {error!r}")
+            return
+        for action in actions:
+            try:
+                self._doers[type(action)](action)
+            except Exception as error:
+                log(f"action {type(action).__name__} broke: {error!r}")
+
+    def _on_guard(self, exchange: Exchange) -> None:
+        if exchange.over:
+            return
+        log(f"request {exchange.call.id}: no answer by its deadline, guarded")
+        self.relay.give_up(exchange, exchange.call.service in self._safe)
+        for attempt in exchange.attempts:
+            self.send.stop(attempt, i.Outcome.TIMEOUT)
+        self.decide(i.ClientLeft(exchange.call.id))
+
+    # ---- what the module asks for
+
+    def _on_send(self, act: i.Send) -> None:
+        exchange, now_ms = self.table.get(act.request), self._clock.now_ms()
+        place = self.route(exchange, act.node, now_ms)
+        if exchange is None:
+            log(f"request {act.request}: send for a request that is over")
+            return
+        attempt = Attempt(len(exchange.attempts), act.node, now_ms)
+        exchange.attempts.append(attempt)
+        if place is None:
+            self.book(exchange, attempt, Reply(i.Outcome.MOOT))
+        else:
+            self.send(exchange, attempt, place, act.timeout_ms)
+
+    def _on_refuse(self, act: i.Refuse) -> None:
+        self._finish(act.request, Answer(Verdict.REFUSED, retry_in_ms=act.retry_in_ms))
+
+    def _on_fail(self, act: i.Fail) -> None:
+        self._finish(act.request, Answer(Verdict.FAILED))
+
+    def _finish(self, request: str, answer: Answer) -> None:
+        exchange = self.table.get(request)
+        if exchange is not None:
+            self.relay(exchange, answer)
+
+    def _on_cancel(self, act: i.Cancel) -> None:
+        # Looked up among the attempts that are out: one may be called off after its request is over.
+        attempt = self.send.out.get((act.request, act.attempt))
+        if attempt is not None:
+            self.send.stop(attempt, i.Outcome.CANCELLED)
+
+    def _on_timer(self, act: i.SetTimer) -> None:
+        self._clock.call_later(act.wait_ms, self.decide, i.TimerDue(act.token))
+
+    def _on_close_idle(self, act: i.CloseIdle) -> None:
+        place = self.route.find(act.node)
+        if place is not None:
+            place.back.close_idle(place.address)
+
+    def _on_probe(self, act: i.Probe) -> None:
+        place = self.route.find(act.node)
+        if place is not None:
+            self.spawn(self._probe(place))
+
+    async def _probe(self, place: Place) -> None:
+        sent_ms = self._clock.now_ms()
+        reply = await place.back.probe(place.address)
+        lag_ms = self._clock.now_ms() - sent_ms
+        self.decide(i.Probed(place.entry.node, reply.outcome, lag_ms, reply.report))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Work beside the requests; its errors are logged and end nothing else."""
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._spawned)
+
+    def _spawned(self, task: asyncio.Task[None]) -> None:
+        self._background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log(f"background work broke: {task.exception()!r}")
+
+    async def close(self) -> None:
+        """End the work beside the requests."""
+        for task in list(self._background):
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
--- /dev/null
+++ b/shaletiller/core/relay.py
@@ -0,0 +1,42 @@
+"""Relay: the one final answer of a call goes back to its client."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from shaletiller.core.model import Answer, Exchange, Verdict
+from shaletiller.log import log
+
+
+class Relay:
+    def __init__(self, table: dict[str, Exchange], counts: dict[str, int]) -> None:
+        self._table = table
+        self._counts = counts
+        self.seen: Callable[[Exchange], None] = lambda exchange: None
+
+    def __call__(self, exchange: Exchange, answer: Answer) -> None:
+        if exchange.over:
+            return
+        exchange.final = answer.verdict
+        self.forget(exchange)
+        self._counts[answer.verdict.value] = self._counts.get(answer.verdict.value, 0) + 1
+        try:
+            exchange.answer(answer)
+        except Exception as error:  # a broken front must not take the other requests with it
+            log(f"answer not delivered: {error!r}")
+
+    def left(self, exchange: Exchange) -> None:
+        exchange.left = True
+        self.forget(exchange)
+        self._counts["left"] = self._counts.get("left", 0) + 1
+
+    def forget(self, exchange: Exchange) -> None:
+        if exchange.guard is not None:
+            exchange.guard.cancel()
+        self.seen(exchange)
+        self._table.pop(exchange.call.id, None)
+
+    def give_up(self, exchange: Exchange, safe: bool) -> None:
+        """The module kept silent: refuse only where a repeat does no harm."""
+        refused = safe or exchange.harmless
+        self(exchange, Answer(Verdict.REFUSED if refused else Verdict.FAILED))
--- /dev/null
+++ b/shaletiller/gateway.py
@@ -0,0 +1,59 @@
+"""One gateway put together: start, run, and a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from shaletiller import interface as i
+from shaletiller.clock import Clock
+from shaletiller.config import Config
+from shaletiller.core.engine import Engine
+from shaletiller.core.model import Back
+from shaletiller.log import log
+from shaletiller.net.discovery import Discovery
+from shaletiller.net.http_back import HttpBack
+from shaletiller.net.http_front import HttpFront
+from shaletiller.net.peers import Peers
+
+KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections and requests still come for a while
+LEAST_NODES = 8  # the back's sockets are dealt out to at least so many nodes
+
+
+class Gateway:
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+        self.config = config
+        self.engine = Engine(config.settings, config.seed, clock or Clock())
+        self._http = HttpBack(config.settings, self._sockets_a_node)
+        self._nodes: set[str] = set()
+        self.discovery = Discovery(config.discovery, config.known, self._back_of, self.engine.nodes)
+        self.front = HttpFront(self.engine, config.front_sockets, lambda: self.discovery.held)
+        self.peers = Peers(config.peers, config.peers_all, self._heard)
+        self.engine.tell = self.peers.tell
+        self.engine.fetch_list = self.discovery.want_whole
+        self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
+
+    def _sockets_a_node(self) -> int:
+        return max(4, self.config.back_sockets // max(LEAST_NODES, len(self._nodes)))
+
+    def _back_of(self, node: str) -> Back:
+        self._nodes.add(node)
+        return self._http
+
+    def _heard(self, peer: int, data: str) -> None:
+        self.engine.decide(i.PeerSaid(peer, data))
+
+    async def start(self) -> None:
+        self.discovery.start_from_known()
+        if self.config.settings.may_tell and self.config.peer_listen is not None:
+            await self.peers.start(self.config.peer_listen)
+        await self.front.start(*self.config.listen)
+        self.engine.spawn(self.discovery.run())
+        log(f"gateway {self.config.name} listens at {self.front.address[0]}:{self.front.address[1]}")
+
+    async def stop(self) -> None:
+        """A planned stop: clients still come at first, and all that was taken gets its answer."""
+        await asyncio.sleep(KEEP_ACCEPTING_S)
+        await self.front.stop(max(3000.0, self._longest_ms) / 1000)
+        await self.engine.close()
+        await self._http.close()
+        self.peers.close()
--- /dev/null
+++ b/shaletiller/net/__init__.py
@@ -0,0 +1,1 @@
+"""The wires: clients, nodes, discovery and peers."""
--- /dev/null
+++ b/shaletiller/net/discovery.py
@@ -0,0 +1,94 @@
+"""Discovery: the node list, watched without a pause."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from shaletiller import interface as i
+from shaletiller.config import ConfigError, ServerList, ServerRow, read_address
+from shaletiller.core.model import Back
+from shaletiller.core.route import Place
+from shaletiller.log import log
+
+WAIT_MS = 20_000
+SILENCE_MS = 1_500.0  # past a watch's own wait: the agent is silent while discovery is down
+AGAIN_MS = 50.0  # a watch goes on while the next call follows within 200 ms
+MOST_LIST = 4 * 1024 * 1024
+STATES = {"active": i.NodeState.READY, "leaving": i.NodeState.DRAINING, "left": i.NodeState.GONE}
+
+
+class BadList(Exception):
+    """A list that is not what discovery promises; the one in hand stays."""
+
+
+def read_row(row: ServerRow, back: Callable[[str], Back]) -> Place:
+    state = STATES.get(row.state)
+    if state is None:
+        raise BadList(f"state of {row.id}: unknown value {row.state!r}")
+    if state is not i.NodeState.GONE:
+        try:
+            read_address(row.addr, f"addr of {row.id}")
+        except ConfigError as error:
+            raise BadList(str(error)) from error
+    entry = i.NodeEntry(
+        node=row.id, zone=row.zone, shard=row.cell, state=state, weight=row.weight,
+        started_ms=row.started_ms, kind=row.kind,
+    )
+    return Place(entry, row.addr, back(row.id))
+
+
+class Discovery:
+    def __init__(
+        self, address: tuple[str, int], known: ServerList, back: Callable[[str], Back],
+        apply: Callable[[i.ListKind, int, tuple[Place, ...]], None],
+    ) -> None:
+        self._base = f"http://{address[0]}:{address[1]}/discovery/hosts"
+        self._back = back
+        self._apply = apply
+        self._known = known
+        self._version: int | None = None  # None: the whole list is wanted
+        self._whole = asyncio.Event()
+        self.held = False
+
+    def start_from_known(self) -> None:
+        """The list as this gateway last had it; it may be old."""
+        try:
+            self._take(self._known, i.ListKind.REMEMBERED)
+        except BadList as error:
+            log(f"known list left out: {error}")
+
+    def _take(self, found: ServerList, kind: i.ListKind) -> None:
+        places = tuple(read_row(row, self._back) for row in found.servers)
+        self._version = found.version
+        self.held = self.held or bool(places)
+        self._apply(kind, found.version, places)
+
+    def want_whole(self) -> None:
+        """The module asks for the full list: the next call fetches it."""
+        self._version = None
+
+    async def run(self) -> None:
+        """Watch for ever; a call that fails is made again at once, or soon."""
+        timeout = aiohttp.ClientTimeout(total=(WAIT_MS + SILENCE_MS) / 1000, sock_connect=1.0)
+        async with aiohttp.ClientSession(timeout=timeout, trust_env=False) as session:
+            while True:
+                try:
+                    await self._call(session)
+                except (aiohttp.ClientError, OSError, BadList, msgspec.MsgspecError) as error:
+                    # TimeoutError is an OSError: a silent agent ends up here too.
+                    log(f"discovery: {type(error).__name__} {error}")
+                    await asyncio.sleep(AGAIN_MS / 1000)
+
+    async def _call(self, session: aiohttp.ClientSession) -> None:
+        params = {} if self._version is None else {"since": str(self._version), "timeout_ms": str(WAIT_MS)}
+        async with session.get(self._base, params=params) as response:
+            raw = await response.content.read(MOST_LIST) if response.content_length is None else (
+                await response.read())
+            if response.status != 200:
+                raise BadList(f"status {response.status}")
+        found = msgspec.json.decode(raw, type=ServerList)
+        self._take(found, i.ListKind.FULL if found.full else i.ListKind.CHANGES)
--- /dev/null
+++ b/shaletiller/net/nvme/__init__.py
@@ -0,0 +1,1 @@
+"""NVMe over TCP, a subset: the codec, the front for clients and the back for boxes."""
--- /dev/null
+++ b/shaletiller/net/peers.py
@@ -0,0 +1,52 @@
+"""Short messages between gateways, over UDP; they come late or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from shaletiller.log import log
+
+MOST_BYTES = 256  # a longer datagram breaks the platform's rules
+
+
+class Peers(asyncio.DatagramProtocol):
+    def __init__(
+        self, peers: tuple[tuple[str, int], ...], everyone: tuple[str, int] | None,
+        heard: Callable[[int, str], None],
+    ) -> None:
+        self._peers = peers
+        self._everyone = everyone
+        self._numbers = {address: number for number, address in enumerate(peers)}
+        self._heard = heard
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def tell(self, peer: int | None, data: str) -> None:
+        raw = data.encode()
+        if len(raw) > MOST_BYTES:
+            log(f"message of {len(raw)} bytes left out: at most {MOST_BYTES}")
+            return
+        known = peer is None or 0 <= peer < len(self._peers)
+        address = self._everyone if peer is None else self._peers[peer] if known else None
+        if self._transport is not None and address is not None:
+            self._transport.sendto(raw, address)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self._numbers.get(addr[:2])
+        if number is None or len(data) > MOST_BYTES:
+            return
+        try:
+            self._heard(number, data.decode())
+        except UnicodeDecodeError:
+            log(f"message of peer {number} is not text")
+
+    def error_received(self, exc: Exception) -> None:
+        log(f"peers: {exc}")
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
