Add the NVMe/TCP codec, front and back, off on the platform

The front and the back are not yet shown by tests; the front is off unless deploy/nvme.toml names an address.

--- a/shaletiller/config.py
+++ b/shaletiller/config.py
@@ -80,7 +80,7 @@
     first_key: Annotated[int, msgspec.Meta(ge=0)] = 0
     units: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     hosts: Annotated[int, msgspec.Meta(ge=1)] = 1
-    block_bytes: Annotated[int, msgspec.Meta(ge=512, le=65536)] = 4096
+    block_bytes: Annotated[int, msgspec.Meta(ge=4096, le=65536)] = 4096
     read_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 750.0
     write_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 1200.0
 
@@ -92,7 +92,7 @@
     subsystem: str
     nsid: Annotated[int, msgspec.Meta(ge=1)] = 1
     first_key: Annotated[int, msgspec.Meta(ge=0)] = 0
-    block_bytes: Annotated[int, msgspec.Meta(ge=512, le=65536)] = 4096
+    block_bytes: Annotated[int, msgspec.Meta(ge=4096, le=65536)] = 4096
 
 
 class NvmeFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/shaletiller/core/model.py
+++ b/shaletiller/core/model.py
@@ -97,6 +97,14 @@
     """A call that no node must see."""
 
 
+class Calls(Protocol):
+    """What a front needs of the engine."""
+
+    def call(self, call: Call, answer: Callable[[Answer], None]) -> Exchange: ...
+
+    def client_left(self, exchange: Exchange) -> None: ...
+
+
 class Back(Protocol):
     """A way to nodes.  A cancelled attempt leaves its connection closed."""
 
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -6,13 +6,15 @@
 
 from shaletiller import interface as i
 from shaletiller.clock import Clock
-from shaletiller.config import Config
+from shaletiller.config import Config, read_address
 from shaletiller.core.engine import Engine
 from shaletiller.core.model import Back
 from shaletiller.log import log
 from shaletiller.net.discovery import Discovery
 from shaletiller.net.http_back import HttpBack
 from shaletiller.net.http_front import HttpFront
+from shaletiller.net.nvme.back import BoxBack
+from shaletiller.net.nvme.front import NvmeFront
 from shaletiller.net.peers import Peers
 
 KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections and requests still come for a while
@@ -24,20 +26,26 @@
         self.config = config
         self.engine = Engine(config.settings, config.seed, clock or Clock())
         self._http = HttpBack(config.settings, self._sockets_a_node)
-        self._nodes: set[str] = set()
+        self._boxes = {box.node: box for box in config.nvme.box}
+        self._backs: dict[str, Back] = {}
         self.discovery = Discovery(config.discovery, config.known, self._back_of, self.engine.nodes)
         self.front = HttpFront(self.engine, config.front_sockets, lambda: self.discovery.held)
         self.peers = Peers(config.peers, config.peers_all, self._heard)
         self.engine.tell = self.peers.tell
         self.engine.fetch_list = self.discovery.want_whole
+        self.nvme = NvmeFront(config.nvme.front, self.engine) if config.nvme.front.listen else None
         self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
 
     def _sockets_a_node(self) -> int:
-        return max(4, self.config.back_sockets // max(LEAST_NODES, len(self._nodes)))
+        return max(4, self.config.back_sockets // max(LEAST_NODES, len(self._backs)))
 
     def _back_of(self, node: str) -> Back:
-        self._nodes.add(node)
-        return self._http
+        back = self._backs.get(node)
+        if back is None:
+            box = self._boxes.get(node)
+            back = BoxBack(box, self.config.settings, self._sockets_a_node()) if box else self._http
+            self._backs[node] = back
+        return back
 
     def _heard(self, peer: int, data: str) -> None:
         self.engine.decide(i.PeerSaid(peer, data))
@@ -47,13 +55,19 @@
         if self.config.settings.may_tell and self.config.peer_listen is not None:
             await self.peers.start(self.config.peer_listen)
         await self.front.start(*self.config.listen)
+        if self.nvme is not None:
+            await self.nvme.start(*read_address(self.config.nvme.front.listen, "front.listen"))
+            log(f"NVMe/TCP at {self.nvme.address[0]}:{self.nvme.address[1]}")
         self.engine.spawn(self.discovery.run())
         log(f"gateway {self.config.name} listens at {self.front.address[0]}:{self.front.address[1]}")
 
     async def stop(self) -> None:
         """A planned stop: clients still come at first, and all that was taken gets its answer."""
         await asyncio.sleep(KEEP_ACCEPTING_S)
-        await self.front.stop(max(3000.0, self._longest_ms) / 1000)
+        grace_s = max(3000.0, self._longest_ms) / 1000
+        stops = [self.front.stop(grace_s)] + ([self.nvme.stop(grace_s)] if self.nvme else [])
+        await asyncio.gather(*stops)
         await self.engine.close()
-        await self._http.close()
+        for back in {id(back): back for back in (self._http, *self._backs.values())}.values():
+            await back.close()
         self.peers.close()
--- /dev/null
+++ b/shaletiller/net/nvme/stream.py
@@ -0,0 +1,53 @@
+"""PDUs over one TCP connection, for both sides."""
+
+from __future__ import annotations
+
+import asyncio
+
+from shaletiller.net.nvme.pdu import Decoder, Kind, Pdu
+
+READ_BYTES = 65536
+MOST_UNSENT = 1 << 20  # a peer that does not read is cut off rather than remembered
+
+
+class PduStream:
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, allowed: frozenset[Kind],
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._decoder = Decoder(allowed)
+        self._ready: list[Pdu] = []
+
+    async def next(self, patience_s: float | None = None) -> Pdu | None:
+        """The next PDU, None at the stream's end.  TimeoutError where none comes within the patience."""
+        async with asyncio.timeout(patience_s):
+            while not self._ready:
+                data = await self._reader.read(READ_BYTES)
+                if not data:
+                    return None
+                self._ready = self._decoder.feed(data)
+        return self._ready.pop(0)
+
+    def send(self, *units: bytes) -> None:
+        """Write whole PDUs.  A connection that is gone, or whose peer does not read, is cut."""
+        transport = self._writer.transport
+        if transport.is_closing():
+            return
+        self._writer.writelines(units)
+        if transport.get_write_buffer_size() > MOST_UNSENT:
+            transport.abort()
+
+    async def flushed(self) -> None:
+        """Return once the peer has caught up with what was sent."""
+        await self._writer.drain()
+
+    @property
+    def closing(self) -> bool:
+        return self._writer.transport.is_closing() or self._reader.at_eof()
+
+    def close(self) -> None:
+        self._writer.close()
+
+    def abort(self) -> None:
+        self._writer.transport.abort()
