Show both fronts by scenarios on loopback, read OTLP and NVMe configuration

Found by the new scenarios: Decoder.feed (net/nvme/pdu.py) raised on a malformed unit and dropped whole units read before it, so an ICReq followed by garbage got a TermReq without its ICResp; units are now taken one by one. Request-Timeout-Ms was cut to 899 of 900 ms; it is rounded.

--- a/shaletiller/core/book.py
+++ b/shaletiller/core/book.py
@@ -18,19 +18,18 @@
         self._relay = relay
         self._decide = decide
         self._counts = counts
-        self.seen: Callable[[Exchange, Attempt], None] = lambda exchange, attempt: None
 
     def __call__(self, exchange: Exchange, attempt: Attempt, reply: Reply) -> None:
         if attempt.outcome is not None:
             return
         attempt.outcome = reply.outcome
+        attempt.ended_ms = self._clock.now_ms()
         name = f"attempt.{reply.outcome.value}"
         self._counts[name] = self._counts.get(name, 0) + 1
         if reply.outcome is i.Outcome.OK:
             self._relay(exchange, Answer(Verdict.SERVED, reply.body))
-        self.seen(exchange, attempt)
         self._decide(i.Attempted(
             request=exchange.call.id, attempt=attempt.number, node=attempt.node, outcome=reply.outcome,
-            lag_ms=self._clock.now_ms() - attempt.sent_ms, over=exchange.over, used=reply.used,
+            lag_ms=attempt.ended_ms - attempt.sent_ms, over=exchange.over, used=reply.used,
             from_others=reply.from_others, report=reply.report,
         ))
--- a/shaletiller/core/model.py
+++ b/shaletiller/core/model.py
@@ -68,6 +68,7 @@
     task: asyncio.Task[Reply] | None = None
     stopped: i.Outcome | None = None  # why the gateway itself ended it
     outcome: i.Outcome | None = None
+    ended_ms: float | None = None
 
 
 @dataclass(slots=True)
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from shaletiller import interface as i
 from shaletiller.clock import Clock
@@ -17,6 +18,9 @@
 from shaletiller.net.nvme.front import NvmeFront
 from shaletiller.net.peers import Peers
 
+if TYPE_CHECKING:
+    from shaletiller.telemetry.otlp import Otlp
+
 KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections and requests still come for a while
 LEAST_NODES = 8  # the back's sockets are dealt out to at least so many nodes
 
@@ -24,7 +28,9 @@
 class Gateway:
     def __init__(self, config: Config, clock: Clock | None = None) -> None:
         self.config = config
-        self.engine = Engine(config.settings, config.seed, clock or Clock())
+        self._clock = clock or Clock()
+        self.engine = Engine(config.settings, config.seed, self._clock)
+        self.telemetry: Otlp | None = None
         self._http = HttpBack(config.settings, self._sockets_a_node)
         self._boxes = {box.node: box for box in config.nvme.box}
         self._backs: dict[str, Back] = {}
@@ -51,6 +57,11 @@
         self.engine.decide(i.PeerSaid(peer, data))
 
     async def start(self) -> None:
+        if self.config.telemetry.endpoint:
+            # Loaded only where it is wanted: the library takes memory and time at the start.
+            from shaletiller.telemetry.otlp import Otlp
+
+            self.telemetry = Otlp(self.config.telemetry, self.config.name, self.engine, self._clock)
         self.discovery.start_from_known()
         if self.config.settings.may_tell and self.config.peer_listen is not None:
             await self.peers.start(self.config.peer_listen)
@@ -71,3 +82,5 @@
         for back in {id(back): back for back in (self._http, *self._backs.values())}.values():
             await back.close()
         self.peers.close()
+        if self.telemetry is not None:
+            await self.telemetry.stop()
--- a/shaletiller/net/http_back.py
+++ b/shaletiller/net/http_back.py
@@ -111,7 +111,7 @@
 
     async def attempt(self, address: str, call: Call, timeout_ms: float) -> Reply:
         written = Written()
-        headers = {"Request-Id": call.id, "Request-Timeout-Ms": str(max(1, int(timeout_ms)))}
+        headers = {"Request-Id": call.id, "Request-Timeout-Ms": str(max(1, round(timeout_ms)))}
         body: Any = call.body or None
         if len(call.body) > WHOLE_BODY:
             headers["Content-Length"] = str(len(call.body))
--- a/shaletiller/net/nvme/pdu.py
+++ b/shaletiller/net/nvme/pdu.py
@@ -87,21 +87,15 @@
         self._allowed = allowed
         self._held = bytearray()
 
-    def feed(self, data: bytes) -> list[Pdu]:
+    def feed(self, data: bytes) -> None:
         self._held += data
-        found = []
-        while len(self._held) >= HEAD.size:
-            head = bytes(self._held[: HEAD.size])
-            length = self._check(head)
-            if len(self._held) < length:
-                break
-            found.append(self._cut(length))
-        return found
 
-    @property
-    def partial(self) -> bool:
-        """Whether the stream stands in the midst of a PDU."""
-        return bool(self._held)
+    def take(self) -> Pdu | None:
+        """The next whole PDU.  One at a time: an error must not swallow the units before it."""
+        if len(self._held) < HEAD.size:
+            return None
+        length = self._check(bytes(self._held[: HEAD.size]))
+        return self._cut(length) if len(self._held) >= length else None
 
     def _check(self, head: bytes) -> int:
         kind, flags, header_bytes, offset, length = HEAD.unpack(head)
--- a/shaletiller/net/nvme/stream.py
+++ b/shaletiller/net/nvme/stream.py
@@ -17,17 +17,16 @@
         self._reader = reader
         self._writer = writer
         self._decoder = Decoder(allowed)
-        self._ready: list[Pdu] = []
 
     async def next(self, patience_s: float | None = None) -> Pdu | None:
         """The next PDU, None at the stream's end.  TimeoutError where none comes within the patience."""
         async with asyncio.timeout(patience_s):
-            while not self._ready:
+            while (pdu := self._decoder.take()) is None:
                 data = await self._reader.read(READ_BYTES)
                 if not data:
                     return None
-                self._ready = self._decoder.feed(data)
-        return self._ready.pop(0)
+                self._decoder.feed(data)
+        return pdu
 
     def send(self, *units: bytes) -> None:
         """Write whole PDUs.  A connection that is gone, or whose peer does not read, is cut."""
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,120 @@
+"""Configuration: one place, and messages that name the faulty key."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from shaletiller.config import ConfigError, read_config
+from tests.scenario import SETTINGS
+
+GOOD: dict[str, Any] = {
+    "name": "n3", "listen": "127.0.0.1:9000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+    "peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946"], "peers_all": "127.0.0.2:7946",
+    "known": {"version": 41, "full": True, "servers": []}, "unheard-of": 1,
+}
+NVME = """
+[front]
+listen = "127.0.0.1:4420"
+[[front.namespace]]
+nsid = 1
+blocks = 10
+read_class = "read"
+write_class = "write"
+plan = "basic"
+volume = "00000003b4d60021"
+shard = 0
+"""
+
+
+def env(folder: Path, config: Any) -> dict[str, str]:
+    path = folder / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return {"EDGE_CONFIG": str(path)}
+
+
+def changed(path: str, value: Any) -> dict[str, Any]:
+    """GOOD with one value changed."""
+    config = json.loads(json.dumps(GOOD))
+    *way, last = path.split(".")
+    at = config
+    for step in way:
+        at = at[int(step)] if step.isdigit() else at[step]
+    at[last] = value
+    return config
+
+
+def test_all_is_read(tmp_path: Path) -> None:
+    found = read_config(env(tmp_path, GOOD) | {"EDGE_LISTEN": "127.0.0.9:1"}, tmp_path / "none.toml")
+    assert (found.name, found.listen, found.discovery) == ("n3", ("127.0.0.9", 1), ("127.0.0.1", 8500))
+    assert (found.seed, found.peers, found.known.version) == (0x8C1F30D27A5BE964, (("127.0.0.1", 7946),), 41)
+    assert found.settings.classes[1].writes
+    assert (found.nvme.front.listen, found.telemetry.endpoint) == ("", "")
+    assert found.front_sockets + found.back_sockets < 1024
+
+
+def test_the_nvme_front_is_off_on_the_platform(tmp_path: Path) -> None:
+    found = read_config(env(tmp_path, GOOD))
+    assert (found.nvme.front.listen, found.nvme.box) == ("", ())
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "key"),
+    [
+        ("listen", "nowhere", "EDGE_LISTEN"), ("discovery", "", "EDGE_DISCOVERY"), ("seed", "xyz", "seed"),
+        ("limits.sockets", 3, "limits.sockets"), ("peers", ["a"], "peers[0]"),
+        ("known.version", "x", "known.version"), ("settings.classes", [], "settings.classes"),
+        ("settings.classes.0.target-ms", "soon", "settings.classes[0].target-ms"),
+        ("settings.classes.1.effect", "odd", "settings.classes[1].effect"),
+        ("settings.contracts.0.reserve", -1, "settings.contracts[0].reserve"),
+        ("settings.domain.mean-units", 0, "settings.domain.mean-units"),
+        ("settings.limits.max-attempts", "x", "settings.limits.max-attempts"),
+        ("settings.obligations", 5, "settings.obligations"),
+    ],
+)
+def test_a_faulty_key_is_named(tmp_path: Path, path: str, value: Any, key: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        read_config(env(tmp_path, changed(path, value)), tmp_path / "none.toml")
+    assert str(caught.value).removeprefix("EDGE_CONFIG: ").startswith(key), caught.value
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ('listen = "127.0.0.1:4420"', 'listen = "here"', "front.listen"),
+        ("blocks = 10", "blocks = 0", "front.namespace[0].blocks"),
+        ("shard = 0", "shard = 0\nblock_bytes = 5000", "block_bytes"),
+        ("shard = 0", "shard = 0\ncolour = 1", "colour"),
+        ('"basic"', '"gold"', "front.namespace[0].plan"), ('"read"', '"r"', "front.namespace[0].read_class"),
+        ("[front]", "[front", "nvme.toml"),
+    ],
+)
+def test_a_faulty_nvme_key_is_named(tmp_path: Path, old: str, new: str, key: str) -> None:
+    path = tmp_path / "nvme.toml"
+    path.write_text(NVME.replace(old, new))
+    with pytest.raises(ConfigError) as caught:
+        read_config(env(tmp_path, GOOD), path)
+    assert str(caught.value).startswith("nvme.toml")
+    assert key in str(caught.value)
+
+
+@pytest.mark.parametrize("raw", ["{", "[]", '{"name": "n1"}'])
+def test_a_malformed_file_is_one_line_and_a_code(tmp_path: Path, raw: str) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "shaletiller"], env=env(tmp_path, raw), capture_output=True, text=True,
+        timeout=30, cwd=Path(__file__).parent.parent, check=False,
+    )
+    assert done.returncode == 2
+    assert len(done.stderr.splitlines()) == 1
+    assert "EDGE_CONFIG" in done.stderr
+
+
+def test_otlp_variables_are_checked(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="OTEL_TRACES_SAMPLER_ARG"):
+        read_config(env(tmp_path, GOOD) | {"OTEL_TRACES_SAMPLER_ARG": "2"}, tmp_path / "none.toml")
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,150 @@
+"""The engine alone: a settable clock, a back of the test's own, no sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from shaletiller import interface as i
+from shaletiller.clock import SettableClock
+from shaletiller.core.engine import Engine
+from shaletiller.core.model import Answer, Call, Exchange, Reply, Verdict
+from shaletiller.core.route import Place
+from tests.helpers import SAFE, entry, settings
+
+CALL = Call("r1", "read", "basic", "v1", "x", 2.0, 0, 1, 400.0, False, "GET", "/api?key=x")
+WRITE = replace(CALL, id="w1", service="write", write=True)
+UNSAFE = replace(SAFE, name="write", effect=i.Effect.UNSAFE)
+
+
+class Back:
+    """Attempts end when the test says so."""
+
+    def __init__(self) -> None:
+        self.out: list[asyncio.Future[Reply]] = []
+        self.closed = 0
+
+    async def attempt(self, address: str, call: Call, timeout_ms: float) -> Reply:
+        self.out.append(asyncio.get_running_loop().create_future())
+        return await self.out[-1]
+
+    async def probe(self, address: str) -> Reply:
+        return Reply(i.Outcome.OK)
+
+    def close_idle(self, address: str) -> None:
+        self.closed += 1
+
+    async def close(self) -> None: ...
+
+
+class EngineTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = SettableClock(1000.0)
+        self.back = Back()
+        known = settings(classes=(SAFE, UNSAFE), may_cancel=True, max_attempts=3, may_probe=True)
+        self.engine = Engine(known, 1, self.clock)
+        self.engine.nodes(i.ListKind.FULL, 1, (Place(entry(), "a:1", self.back),))
+        self.answers: list[Answer] = []
+        self.told: list[i.Event] = []
+        handle = self.engine._scheduler.handle
+
+        def told(now_ms: float, event: i.Event) -> list[i.Action]:
+            self.told.append(event)
+            return handle(now_ms, event)
+
+        self.engine._scheduler.handle = told  # type: ignore[method-assign]
+
+    async def call(self, call: Call) -> Exchange:
+        exchange = self.engine.call(call, self.answers.append)
+        await self.settle()
+        return exchange
+
+    async def settle(self) -> None:
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    def outcomes(self) -> list[i.Outcome]:
+        return [event.outcome for event in self.told if isinstance(event, i.Attempted)]
+
+    async def test_served(self) -> None:
+        await self.call(CALL)
+        self.clock.advance(30)
+        self.back.out[0].set_result(Reply(i.Outcome.OK, b"data", used=87))
+        await self.settle()
+        self.assertEqual(self.answers, [Answer(Verdict.SERVED, b"data")])
+        done, = (event for event in self.told if isinstance(event, i.Attempted))
+        self.assertEqual((done.lag_ms, done.over, done.used), (30.0, True, 87))
+
+    async def test_a_silent_node_times_out_at_the_deadline_with_one_outcome(self) -> None:
+        await self.call(WRITE)
+        self.clock.advance(399)
+        await self.settle()
+        self.assertEqual(self.answers, [])
+        self.clock.advance(1)
+        await self.settle()
+        self.assertEqual(self.answers, [Answer(Verdict.FAILED)])
+        self.assertEqual(self.outcomes(), [i.Outcome.TIMEOUT])
+        self.assertTrue(self.back.out[0].cancelled())
+
+    async def test_an_attempt_cancelled_before_its_first_step_still_has_its_outcome(self) -> None:
+        exchange = self.engine.call(WRITE, self.answers.append)
+        self.engine.client_left(exchange)
+        await self.settle()
+        self.assertEqual(self.outcomes(), [i.Outcome.CANCELLED])
+        self.assertEqual(self.engine.send.out, {})
+
+    async def test_a_back_that_breaks_counts_as_a_reset(self) -> None:
+        await self.call(WRITE)
+        self.back.out[0].set_exception(RuntimeError("broken on purpose"))
+        await self.settle()
+        self.assertEqual((self.outcomes(), self.answers), ([i.Outcome.RESET], [Answer(Verdict.FAILED)]))
+
+    async def test_no_second_attempt_while_one_is_open(self) -> None:
+        await self.call(CALL)
+        self.engine._on_send(i.Send("r1", "n1"))
+        await self.settle()
+        self.assertEqual((len(self.back.out), self.outcomes()), (1, [i.Outcome.MOOT]))
+
+    async def test_a_send_to_another_shard_or_an_unknown_node_is_moot(self) -> None:
+        await self.call(replace(CALL, shard=7))
+        self.engine._on_send(i.Send("r1", "n1"))
+        self.engine._on_send(i.Send("r1", "n9"))
+        await self.settle()
+        self.assertEqual((self.back.out, self.outcomes()), ([], [i.Outcome.MOOT] * 2))
+
+    async def test_the_first_final_answer_is_the_only_one(self) -> None:
+        await self.call(CALL)
+        self.engine._on_refuse(i.Refuse("r1", 250))
+        self.engine._on_fail(i.Fail("r1"))
+        self.back.out[0].set_result(Reply(i.Outcome.OK, b"late"))
+        await self.settle()
+        self.assertEqual(self.answers, [Answer(Verdict.REFUSED, retry_in_ms=250)])
+
+    async def test_the_guard_fails_a_write_that_may_have_run_and_refuses_one_that_did_not(self) -> None:
+        await self.call(WRITE)
+        await self.call(replace(WRITE, id="w2", shard=5))
+        self.engine._scheduler.handle = lambda now_ms, event: []  # type: ignore[method-assign]
+        self.clock.advance(420)
+        await self.settle()
+        self.assertEqual([each.verdict for each in self.answers], [Verdict.FAILED, Verdict.REFUSED])
+
+    async def test_a_probe_comes_back_as_an_event(self) -> None:
+        self.engine._on_probe(i.Probe("n1"))
+        await self.settle()
+        self.assertIn(i.Probed("n1", i.Outcome.OK, 0.0), self.told)
+
+    async def test_a_draining_nodes_idle_connections_close(self) -> None:
+        leaving = entry(state=i.NodeState.DRAINING)
+        self.engine.nodes(i.ListKind.CHANGES, 2, (Place(leaving, "a:1", self.back),))
+        self.assertEqual(self.back.closed, 1)
+
+
+class ClockTest(unittest.TestCase):
+    def test_timers_come_due_in_order_and_a_cancelled_one_does_not(self) -> None:
+        clock, seen = SettableClock(5.0), []
+        clock.call_later(20, seen.append, "b")
+        clock.call_later(10, lambda: clock.call_later(5, seen.append, "a"))
+        clock.call_later(12, seen.append, "never").cancel()
+        clock.advance(30)
+        self.assertEqual((seen, clock.now_ms()), (["a", "b"], 35.0))
--- /dev/null
+++ b/tests/test_scenarios_http.py
@@ -0,0 +1,188 @@
+"""The platform's front and the HTTP nodes, each trap as a scenario."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, ClassVar
+
+from tests.scenario import PATIENCE_S, SETTINGS, Scenario
+
+
+class Http(Scenario):
+    async def test_a_request_passes_unchanged_and_its_answer_comes_back(self) -> None:
+        await self.play("""
+            send c1 PUT 5 hello id=9b1f03aa5c7e2d41
+            expect n1 PUT 5 hello Request-Id=9b1f03aa5c7e2d41 Content-Length=5
+            send n1 200 done Volume-Load=86 Server-Load={\\"inflight\\":7}
+            expect c1 200 done
+            send c1 GET 6
+            expect n1 GET 6
+            send n1 200 data
+            expect c1 200 data
+        """)
+
+    async def test_the_path_is_not_quoted_anew(self) -> None:
+        await self.play(r"""
+            send c1 GET 5&x=%41+b%2f
+        """)
+        first = (await (await self.party("n1")).next())[0]
+        self.assertEqual(first, "GET /api?key=0000000000000005&x=%41+b%2f HTTP/1.1")
+
+    async def test_a_large_body_passes_whole(self) -> None:
+        body = "x" * 65536
+        await self.play(f"send c1 PUT 5 {body}\nexpect n1 PUT 5 {body}\nsend n1 200 {body}\n"
+                        f"expect c1 200 {body}")
+
+    async def test_a_write_on_a_kept_connection_that_breaks_is_failed_and_never_sent_again(self) -> None:
+        # aiohttp's client repeats a PUT by itself when a kept connection breaks under it.
+        await self.play("""
+            send c1 GET 1
+            expect n1 GET 1
+            send n1 200
+            expect c1 200
+            send c1 PUT 2 once
+            expect n1 PUT 2 once
+            close n1
+            expect c1 502
+            wait 100
+            expect n1 nothing
+        """)
+
+    async def test_a_broken_read_is_tried_again_by_the_module_alone(self) -> None:
+        await self.play("""
+            send c1 GET 1
+            expect n1 GET 1
+            close n1
+            expect n1 GET 1
+            send n1 200 later
+            expect c1 200 later
+            expect n1 nothing
+        """)
+
+    async def test_not_started_is_refusable_and_a_bare_503_is_not(self) -> None:
+        await self.play("""
+            send c1 PUT 1 a
+            expect n1 PUT 1 a
+            send n1 503 Not-Started=1
+            expect n1 PUT 1 a
+            send n1 503
+            expect c1 502
+            wait 50
+            expect n1 nothing
+        """)
+
+    async def test_a_nodes_429_is_no_refusal_of_a_write(self) -> None:
+        await self.play("send c1 PUT 1 a\nexpect n1 PUT 1 a\nsend n1 429\nexpect c1 502")
+
+    async def test_a_redirect_is_not_followed(self) -> None:
+        await self.play("send c1 PUT 1 a\nexpect n1 PUT 1 a\nsend n1 302 Location=/api?key=2\n"
+                        "expect c1 502\nexpect n1 nothing")
+
+    async def test_an_encoded_body_is_not_decoded(self) -> None:
+        await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200 plain Content-Encoding=gzip\n"
+                        "expect c1 200 plain")
+
+    async def test_a_dead_node_is_a_failed_connect_and_its_write_is_refused(self) -> None:
+        await self.play("close n1 door\nsend c1 PUT 1 a timeout=400\nexpect c1 503")
+
+    async def test_a_silent_write_fails_by_its_deadline_and_its_connection_closes(self) -> None:
+        await self.play("send c1 PUT 1 a timeout=300\nexpect n1 PUT 1 a\nexpect c1 502\nexpect n1 closed")
+
+    async def test_a_client_that_leaves_takes_its_attempt_along(self) -> None:
+        await self.play("send c1 GET 1\nexpect n1 GET 1\nclose c1\nexpect n1 closed")
+        self.assertEqual(self.gateway.engine.table, {})
+
+    async def test_an_answer_cut_in_its_body_is_a_reset(self) -> None:
+        await self.play("send c1 PUT 1 a\nexpect n1 PUT 1 a")
+        node = await self.party("n1")
+        node.current.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+        await self.play("wait 30\nclose n1\nexpect c1 502")
+
+    async def test_a_silent_module_is_answered_for_by_the_guard(self) -> None:
+        self.gateway.engine._scheduler.handle = lambda now_ms, event: []
+        await self.play("send c1 PUT 1 a timeout=100\nexpect c1 503")
+
+    async def test_a_broken_module_loses_no_request(self) -> None:
+        def broken(now_ms: float, event: Any) -> Any:
+            raise RuntimeError("broken on purpose")
+
+        self.gateway.engine._scheduler.handle = broken
+        await self.play("send c1 GET 1 timeout=100\nexpect c1 503\nsend c1 GET up\nexpect c1 200")
+
+    async def test_bad_requests_reach_no_node(self) -> None:
+        await self.play(f"""
+            send c1 GET 1 class=unheard
+            expect c1 400
+            send c2 GET 1 Tier=unheard
+            expect c2 400
+            send c3 GET 1 IO-Info=volume=zz,units=1,shard=1,hosts=1
+            expect c3 400
+            send c4 GET 1 timeout=nan
+            expect c4 400
+            send c5 POST 1
+            expect c5 400
+            send c6 PUT 1 {'x' * 65537}
+            expect c6 413
+            send c7 raw 'GARBAGE\\r\\n\\r\\n'
+            expect c7 400
+            send c8 GET 1 IO-Info=volume=00000003b4d60021,units=99,shard=1,hosts=1
+            expect c8 400
+            expect n1 nothing
+        """)
+
+    async def test_a_draining_node_gets_nothing_new_and_what_it_has_is_answered(self) -> None:
+        await self.play("""
+            send c1 PUT 1 a
+            expect n1 PUT 1 a
+            send d n1=leaving
+            wait 60
+            send c2 PUT 2 b timeout=200
+            expect c2 503
+            expect n1 nothing
+            send n1 200 ok
+            expect c1 200 ok
+        """)
+
+    async def test_a_malformed_list_leaves_the_old_one(self) -> None:
+        await self.play("send d '{'\nsend d '[]'\nwait 150\nsend c1 GET 1\nexpect n1 GET 1\nsend n1 200\n"
+                        "expect c1 200")
+
+    async def test_the_next_watch_follows_at_once(self) -> None:
+        await self.play("send d n2=left")
+        first = (await asyncio.wait_for((await self.party("d")).came.get(), 0.2))[0]
+        self.assertTrue(first.startswith("GET /discovery/hosts?since=2&"), first)
+
+    async def test_a_planned_stop_answers_what_is_held(self) -> None:
+        await self.play("send c1 GET 1 timeout=5000\nexpect n1 GET 1")
+        stop = asyncio.ensure_future(self.gateway.stop())
+        await self.play("wait 400\nsend c2 GET 2 timeout=5000\nexpect n1 GET 2\nsend n1 200 late\n"
+                        "expect c2 200 late")
+        await self.play("wait 600")
+        with self.assertRaises(ConnectionError):
+            await asyncio.open_connection(*self.gateway.front.address)
+        node = await self.party("n1")
+        node.current = next(writer for writer in node.writers if writer is not node.current)
+        await self.play("send n1 200 held\nexpect c1 200 held")
+        await asyncio.wait_for(stop, PATIENCE_S)
+
+    async def test_a_kept_connection_is_used_again(self) -> None:
+        for number in range(3):
+            await self.play(f"send c1 GET {number}\nexpect n1 GET {number}\nsend n1 200\nexpect c1 200")
+        self.assertEqual(len((await self.party("n1")).writers), 1)
+
+
+class Idle(Scenario):
+    settings: ClassVar = {**SETTINGS, "limits": {**SETTINGS["limits"], "conn-idle-ms": 100.0}}
+
+    async def test_an_idle_node_connection_is_not_used_past_its_limit(self) -> None:
+        await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200\nwait 120\n"
+                        "send c1 GET 2\nexpect n1 GET 2\nsend n1 200\nexpect c1 200")
+        self.assertEqual(len((await self.party("n1")).writers), 2)
+
+
+class Unknown(Scenario):
+    known = False
+
+    async def test_not_ready_until_a_node_is_known(self) -> None:
+        await self.play("send c1 GET up\nexpect c1 503\nsend d n1=active\nwait 60\n"
+                        "send c1 GET up\nexpect c1 200")
