Tell refused clients to come back at the module's next round

Seen: the module refused with no advice (logic.py, _give_up: Refuse without a wait), so Retry-After never went out though the site allows it.

--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -627,9 +627,15 @@
         """Refuse where a repeat does no harm, else fail: an attempt may have run."""
         harmless = (held.risky is None and held.out == 0) or held.spec.effect is i.Effect.SAFE
         harmless = harmless or (held.spec.effect is i.Effect.KEYED and held.spec.scope is i.Scope.ALL)
-        self._actions.append(i.Refuse(held.ask.request) if harmless else i.Fail(held.ask.request))
+        request = held.ask.request
+        self._actions.append(i.Refuse(request, self._come_back_ms(held)) if harmless else i.Fail(request))
         self._finish(held)
 
+    def _come_back_ms(self, held: Held) -> float:
+        """The next round deals out the node's room anew: sooner, a refused request is only refused again."""
+        wait_ms = max(self._set.tick_ms, self._next_round_ms - self._now)
+        return min(wait_ms, self._set.max_retry_after_ms) if self._set.retry_advice else 0.0
+
     def _finish(self, held: Held) -> None:
         """The request is over: nothing more goes out for it."""
         if self._held.pop(held.ask.request, None) is None:
