--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# build, test, lint, run and sim; every target uses the environment in .venv.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: build dev test lint run sim clean
+
+build:
+	test -d .venv || $(PYTHON) -m venv .venv
+	$(BIN)/pip -q install -r requirements.txt
+
+dev: build
+	$(BIN)/pip -q install -r requirements-dev.txt
+
+test: dev lint
+	$(BIN)/python -m pytest -q
+
+lint: dev
+	$(BIN)/ruff check shaletiller tests
+	$(BIN)/mypy
+
+run: build
+	exec $(BIN)/python -m shaletiller
+
+sim: build
+	exec $(BIN)/python -m shaletiller.adapter
+
+clean:
+	rm -rf .venv .venv-ci .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -22,7 +22,7 @@
     from shaletiller.telemetry.otlp import Otlp
 
 KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections and requests still come for a while
-LEAST_NODES = 8  # the back's sockets are dealt out to at least so many nodes
+LEAST_NODES = 16  # the back's sockets are dealt out to at least so many nodes
 
 
 class Gateway:
@@ -38,7 +38,7 @@
         self.front = HttpFront(self.engine, config.front_sockets, lambda: self.discovery.held)
         self.peers = Peers(config.peers, config.peers_all, self._heard)
         self.engine.tell = self.peers.tell
-        self.engine.fetch_list = self.discovery.want_whole
+        self.engine.fetch_list = lambda: self.engine.spawn(self.discovery.fetch())
         self.nvme = NvmeFront(config.nvme.front, self.engine) if config.nvme.front.listen else None
         self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
 
--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -13,11 +13,13 @@
 from shaletiller.core.model import Back
 from shaletiller.core.route import Place
 from shaletiller.log import log
+from shaletiller.net.body import read_bounded
 
 WAIT_MS = 20_000
 SILENCE_MS = 1_500.0  # past a watch's own wait: the agent is silent while discovery is down
 AGAIN_MS = 50.0  # a watch goes on while the next call follows within 200 ms
 MOST_LIST = 4 * 1024 * 1024
+TIMEOUT = aiohttp.ClientTimeout(total=(WAIT_MS + SILENCE_MS) / 1000, sock_connect=1.0)
 STATES = {"active": i.NodeState.READY, "leaving": i.NodeState.DRAINING, "left": i.NodeState.GONE}
 
 
@@ -25,6 +27,10 @@
     """A list that is not what discovery promises; the one in hand stays."""
 
 
+# TimeoutError, an agent that stays silent, is an OSError.
+TROUBLES = (aiohttp.ClientError, OSError, BadList, msgspec.MsgspecError)
+
+
 def read_row(row: ServerRow, back: Callable[[str], Back]) -> Place:
     state = STATES.get(row.state)
     if state is None:
@@ -50,8 +56,7 @@
         self._back = back
         self._apply = apply
         self._known = known
-        self._version: int | None = None  # None: the whole list is wanted
-        self._whole = asyncio.Event()
+        self._version = 0
         self.held = False
 
     def start_from_known(self) -> None:
@@ -67,28 +72,29 @@
         self.held = self.held or bool(places)
         self._apply(kind, found.version, places)
 
-    def want_whole(self) -> None:
-        """The module asks for the full list: the next call fetches it."""
-        self._version = None
+    async def fetch(self) -> None:
+        """The whole list, once, as the module asked; the watch goes on beside it."""
+        try:
+            async with aiohttp.ClientSession(timeout=TIMEOUT, trust_env=False) as session:
+                await self._call(session, {})
+        except TROUBLES as error:
+            log(f"discovery: whole list: {type(error).__name__} {error}")
+            self._apply(i.ListKind.FAILED, 0, ())
 
     async def run(self) -> None:
-        """Watch for ever; a call that fails is made again at once, or soon."""
-        timeout = aiohttp.ClientTimeout(total=(WAIT_MS + SILENCE_MS) / 1000, sock_connect=1.0)
-        async with aiohttp.ClientSession(timeout=timeout, trust_env=False) as session:
+        """Watch for ever; a call that fails is made again soon."""
+        async with aiohttp.ClientSession(timeout=TIMEOUT, trust_env=False) as session:
             while True:
                 try:
-                    await self._call(session)
-                except (aiohttp.ClientError, OSError, BadList, msgspec.MsgspecError) as error:
-                    # TimeoutError is an OSError: a silent agent ends up here too.
+                    await self._call(session, {"since": str(self._version), "timeout_ms": str(WAIT_MS)})
+                except TROUBLES as error:
                     log(f"discovery: {type(error).__name__} {error}")
                     await asyncio.sleep(AGAIN_MS / 1000)
 
-    async def _call(self, session: aiohttp.ClientSession) -> None:
-        params = {} if self._version is None else {"since": str(self._version), "timeout_ms": str(WAIT_MS)}
+    async def _call(self, session: aiohttp.ClientSession, params: dict[str, str]) -> None:
         async with session.get(self._base, params=params) as response:
-            raw = await response.content.read(MOST_LIST) if response.content_length is None else (
-                await response.read())
-            if response.status != 200:
-                raise BadList(f"status {response.status}")
+            raw = await read_bounded(response.content, MOST_LIST)
+            if response.status != 200 or raw is None:
+                raise BadList(f"status {response.status}, or too long")
         found = msgspec.json.decode(raw, type=ServerList)
         self._take(found, i.ListKind.FULL if found.full else i.ListKind.CHANGES)
--- a/shaletiller/net/http_back.py
+++ b/shaletiller/net/http_back.py
@@ -17,8 +17,8 @@
 from shaletiller import interface as i
 from shaletiller.core.model import Call, Reply
 from shaletiller.log import log
+from shaletiller.net.body import MOST_BODY, read_bounded
 
-MOST_BODY = 64 * 1024
 WHOLE_BODY = 16 * 1024  # up to this a body is handed to the socket in one piece
 IDLE_PART = 0.8  # of the node's idle limit: no request may meet a connection that is about to close
 REPORT_DECODER = msgspec.json.Decoder(dict[str, float])
@@ -126,7 +126,9 @@
             async with session.request(
                 call.method, url, headers=headers, data=body, allow_redirects=False, upload_tracker=tracker,
             ) as response:
-                answer = await self._read(response)
+                answer = await read_bounded(response.content)
+                if answer is None:
+                    response.close()  # what is left of it must not come before another's answer
                 return self._reply(response.status, response.headers, answer)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Reply(i.Outcome.CONNECT_FAILED)
@@ -140,18 +142,6 @@
             handed_over(tracker)  # its exception is taken, so that it is not reported as forgotten
             self._release(session)
 
-    @staticmethod
-    async def _read(response: aiohttp.ClientResponse) -> bytes | None:
-        """The whole body, or None where it is larger than the protocol allows."""
-        parts, size = [], 0
-        async for part in response.content.iter_any():
-            size += len(part)
-            if size > MOST_BODY:
-                response.close()
-                return None
-            parts.append(part)
-        return b"".join(parts)
-
     def _reply(self, status: int, headers: CIMultiDictProxy[str], body: bytes | None) -> Reply:
         if status == 200 and body is not None:
             outcome = i.Outcome.OK
@@ -176,7 +166,7 @@
         try:
             async with asyncio.timeout(self._settings.connect_timeout_ms / 1000):
                 async with session.get(URL(f"http://{address}{path}", encoded=True)) as response:
-                    text = (await self._read(response) or b"").decode(errors="replace")
+                    text = (await read_bounded(response.content) or b"").decode(errors="replace")
                     outcome = i.Outcome.OK if response.status == 200 else i.Outcome.ERROR
                     return Reply(outcome, report=read_report(text, self._settings.report_columns))
         except TimeoutError:
--- a/shaletiller/net/http_front.py
+++ b/shaletiller/net/http_front.py
@@ -12,8 +12,9 @@
 from shaletiller.core.engine import Engine
 from shaletiller.core.model import Answer, BadCall, Call, Verdict
 from shaletiller.log import log
+from shaletiller.net.body import MOST_BODY, read_bounded
 
-MOST_BODY = 64 * 1024
+BODY_S = 10.0  # a body that has not come by then is given up
 HEX16 = re.compile(r"[0-9a-f]{16}", re.IGNORECASE | re.ASCII)
 ID = re.compile(r"[!-~]{1,128}", re.ASCII)
 
@@ -67,19 +68,6 @@
     )
 
 
-async def read_body(request: web.BaseRequest) -> bytes | None:
-    """The whole body, or None where it is larger than the protocol allows."""
-    if (request.content_length or 0) > MOST_BODY:
-        return None
-    parts, size = [], 0
-    async for part in request.content.iter_any():
-        size += len(part)
-        if size > MOST_BODY:
-            return None
-        parts.append(part)
-    return b"".join(parts)
-
-
 class HttpFront:
     """Listens for clients; each request waits for the engine's one answer."""
 
@@ -121,7 +109,12 @@
             return web.Response(status=200 if self._ready() else 503)
         if request.path != "/api":
             return web.Response(status=404)
-        body = await read_body(request)
+        try:
+            async with asyncio.timeout(BODY_S):
+                large = (request.content_length or 0) > MOST_BODY
+                body = None if large else await read_bounded(request.content)
+        except TimeoutError:
+            return self._bad(408, "the body did not come")
         if body is None:
             return self._bad(413, "the body is too large")
         done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -336,7 +336,9 @@
         await self.front.stop(0.1)
 
 
-KINDS: dict[str, type[Party]] = {"c": Client, "n": Node, "v": Host, "b": Box, "d": Discovery}
+KINDS: dict[str, type[Party]] = {
+    "c": Client, "n": Node, "v": Host, "b": Box, "d": Discovery, "o": Server,
+}
 
 
 class Scenario(unittest.IsolatedAsyncioTestCase):
@@ -358,26 +360,33 @@
         nvme.write_text(
             f'[front]\nlisten = "127.0.0.1:0"\n[[front.namespace]]\nnsid = 1\nblocks = 1000\n'
             f'read_class = "read"\nwrite_class = "write"\nplan = "basic"\nvolume = "{VOLUME}"\nshard = 1\n'
-            f'units = 2\nread_timeout_ms = 900\nwrite_timeout_ms = 900\n{boxes}')
-        rows = [self.row(name, "active") for name in self.servers] if self.known else []
+            f'units = 2\nread_timeout_ms = 9000\nwrite_timeout_ms = 9000\n{boxes}')
+        nodes = [name for name in self.servers if name[0] in "nb"]
+        rows = [self.row(name, "active") for name in nodes] if self.known else []
         config = Path(folder.name) / "config.json"
         config.write_text(json.dumps({
             "name": "g0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.parties['d'].port}",
             "seed": "8c1f", "settings": self.settings,
             "known": {"version": 1, "full": True, "servers": rows}}))
-        self.gateway = Gateway(read_config({"EDGE_CONFIG": str(config)}, nvme))
+        env = {"EDGE_CONFIG": str(config), **await self.environment()}
+        self.gateway = Gateway(read_config(env, nvme))
         await self.gateway.start()
 
+    async def environment(self) -> dict[str, str]:
+        """Further variables of the gateway's environment."""
+        return {}
+
     async def asyncTearDown(self) -> None:
         for party in self.parties.values():
             await party.stop()
-        self.gateway.discovery._version = None
         await self.gateway.engine.close()
         await self.gateway.front.stop(0.1)
         for back in {id(back): back for back in self.gateway._backs.values()}.values():
             await back.close()
         if self.gateway.nvme is not None:
             await self.gateway.nvme.stop(0.1)
+        if self.gateway.telemetry is not None:
+            await self.gateway.telemetry.stop()
 
     def count(self) -> int:
         self.numbers += 1
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,86 @@
+"""The program itself: started, stopped by SIGTERM, and two gateways that exchange messages."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from shaletiller.net.peers import Peers
+from tests.scenario import SETTINGS, read_message
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return int(found.getsockname()[1])
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def test_it_gets_ready_and_ends_on_sigterm(self) -> None:
+        port = free_port()
+        row = {"id": "n1", "addr": "127.0.0.1:1", "cell": 0}
+        told = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "settings": SETTINGS,
+                "known": {"version": 1, "full": True, "servers": [row]}}
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(told))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "shaletiller", cwd=ROOT, env={"EDGE_CONFIG": str(path)},
+                stderr=asyncio.subprocess.DEVNULL)
+            try:
+                self.assertEqual(await self.up(port, 20.0), "HTTP/1.1 200 OK")
+                sent = time.monotonic()
+                process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.4)
+                self.assertEqual(await self.up(port, 0.1), "HTTP/1.1 200 OK")  # still accepting
+                self.assertEqual(await asyncio.wait_for(process.wait(), 10.0), 0)
+                self.assertGreater(time.monotonic() - sent, 0.7)
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+    async def up(self, port: int, patience_s: float) -> str:
+        until = time.monotonic() + patience_s
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+                first, _, _ = await read_message(reader)
+                writer.close()
+                return first
+            except OSError:
+                if time.monotonic() > until:
+                    raise
+                await asyncio.sleep(0.05)
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_messages_of_256_bytes_go_out_and_longer_ones_do_not(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(("127.0.0.1", 0))
+            other.settimeout(3.0)
+            addresses = (("127.0.0.1", free_port()), other.getsockname())
+            heard: asyncio.Queue[tuple[int, str]] = asyncio.Queue()
+            peers = Peers(addresses, addresses[1], lambda peer, data: heard.put_nowait((peer, data)))
+            await peers.start(addresses[0])
+            try:
+                peers.tell(1, "x" * 257)
+                peers.tell(7, "to nobody")
+                peers.tell(1, "y" * 256)
+                peers.tell(None, "all")
+                self.assertEqual([other.recv(999), other.recv(999)], [b"y" * 256, b"all"])
+                for raw in (b"z" * 257, b"\xff", b"hello"):
+                    other.sendto(raw, addresses[0])
+                self.assertEqual(await asyncio.wait_for(heard.get(), 3.0), (1, "hello"))
+            finally:
+                peers.close()
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import unittest.mock
 from typing import Any, ClassVar
 
+from shaletiller import interface as i
 from tests.scenario import PATIENCE_S, SETTINGS, Scenario
 
 
@@ -89,7 +91,7 @@
         await self.play("send c1 PUT 1 a timeout=300\nexpect n1 PUT 1 a\nexpect c1 502\nexpect n1 closed")
 
     async def test_a_client_that_leaves_takes_its_attempt_along(self) -> None:
-        await self.play("send c1 GET 1\nexpect n1 GET 1\nclose c1\nexpect n1 closed")
+        await self.play("send c1 GET 1 timeout=9000\nexpect n1 GET 1\nclose c1\nexpect n1 closed")
         self.assertEqual(self.gateway.engine.table, {})
 
     async def test_an_answer_cut_in_its_body_is_a_reset(self) -> None:
@@ -170,6 +172,53 @@
             await self.play(f"send c1 GET {number}\nexpect n1 GET {number}\nsend n1 200\nexpect c1 200")
         self.assertEqual(len((await self.party("n1")).writers), 1)
 
+    async def test_a_kept_connection_that_the_node_closed_costs_no_request(self) -> None:
+        await self.play("""
+            send c1 GET 1
+            expect n1 GET 1
+            send n1 200
+            expect c1 200
+            close n1
+            wait 50
+            send c1 PUT 2 once
+            expect n1 PUT 2 once
+            send n1 200
+            expect c1 200
+        """)
+
+    async def test_a_body_that_never_ends_is_given_up(self) -> None:
+        with unittest.mock.patch("shaletiller.net.http_front.BODY_S", 0.1):
+            await self.play(r"""
+                send c1 raw 'PUT /api?key=5 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf'
+                expect c1 408
+                expect n1 nothing
+            """)
+
+    async def test_the_module_may_ask_for_the_whole_list(self) -> None:
+        self.gateway.engine.fetch_list()
+        await self.play("wait 50")
+        node = await self.party("d")
+        calls = [node.came.get_nowait()[0] for _ in range(2)]
+        self.assertIn("GET /discovery/hosts HTTP/1.1", calls)
+
+    async def test_load_and_use_reach_the_module(self) -> None:
+        seen: list[Any] = []
+        handle = self.gateway.engine._scheduler.handle
+
+        def noted(now_ms: float, event: Any) -> Any:
+            seen.append(event)
+            return handle(now_ms, event)
+
+        self.gateway.engine._scheduler.handle = noted
+        await self.play("""
+            send c1 GET 1
+            expect n1 GET 1
+            send n1 200 Volume-Load=0 'Server-Load={"inflight":7,"queue":2}'
+            expect c1 200
+        """)
+        done, = (event for event in seen if isinstance(event, i.Attempted))
+        self.assertEqual((done.used, done.report), (1.0, (("inflight", 7.0),)))
+
 
 class Idle(Scenario):
     settings: ClassVar = {**SETTINGS, "limits": {**SETTINGS["limits"], "conn-idle-ms": 100.0}}
--- a/tests/test_scenarios_nvme.py
+++ b/tests/test_scenarios_nvme.py
@@ -202,16 +202,17 @@
         ran: Counter[str] = Counter()
 
         async def node_script(server: Server, found: Any) -> None:
-            first, heads, _, server.current, _ = found
+            first, heads, _, writer, _ = found
             kind = dice.random()
             if first.startswith("PUT") and not 0.1 <= kind < 0.2:
                 ran[heads["request-id"]] += 1
+            await asyncio.sleep(0.2 if kind > 0.95 else 0.002)
+            server.current = writer  # only now: others were served meanwhile
             if kind < 0.1:
                 await server.close()
             elif kind < 0.2:
                 await server.send("503", **{"Not-Started": "1"})
             else:
-                await asyncio.sleep(0.2 if kind < 0.25 else 0.002)
                 await server.send("200", "ok")
 
         def box_script(server: Box, call: Any, answer: Any) -> None:
