Close idle node connections before the node does, and bound what NVMe hosts may hold up

An NVMe host that asked for a whole queue of 64 KiB reads could be cut off at 1 MiB of unsent answers; the bound now follows the queue depth and the configuration checks the sum. Where the site states no longest Retry-After the advice was cut to 0 (logic.py, _come_back_ms); 0 means none stated.

--- a/shaletiller/config.py
+++ b/shaletiller/config.py
@@ -19,6 +19,8 @@
 
 NVME_FILE = Path(__file__).parent.parent / "deploy" / "nvme.toml"
 RESERVED_SOCKETS = 64  # listeners, discovery, peers, export, and the interpreter's own files
+NVME_TRANSFER = 65536  # data of one NVMe command
+NVME_MEMORY_PART = 0.5  # of the limit: what NVMe hosts that do not read may hold up at the most
 
 
 class ConfigError(Exception):
@@ -99,7 +101,7 @@
     listen: str = ""  # empty: the front is off
     subsystem: str = "nqn.2026-12.example.shaletiller:gateway"
     queue_depth: Annotated[int, msgspec.Meta(ge=2, le=1024)] = 32
-    connections: Annotated[int, msgspec.Meta(ge=1, le=256)] = 64
+    connections: Annotated[int, msgspec.Meta(ge=1, le=256)] = 32
     namespace: tuple[NvmeNamespace, ...] = ()
 
 
@@ -184,11 +186,16 @@
     return found
 
 
-def _check_nvme(nvme: NvmeConfig, settings: Settings) -> None:
+def _check_nvme(nvme: NvmeConfig, settings: Settings, limits: Limits) -> None:
     classes = {spec.name: spec for spec in settings.classes}
     plans = {plan.name for plan in settings.plans}
     if not nvme.front.listen:
         return
+    held_mb = nvme.front.connections * nvme.front.queue_depth * NVME_TRANSFER / (1 << 20)
+    if held_mb > limits.memory_mb * NVME_MEMORY_PART:
+        raise ConfigError(
+            f"nvme.toml: front.connections: with queue_depth they may hold {held_mb:.0f} MB, "
+            f"at most {limits.memory_mb * NVME_MEMORY_PART:.0f} are allowed")
     for at, space in enumerate(nvme.front.namespace):
         key = f"nvme.toml: front.namespace[{at}]"
         for name, value in (("read_class", space.read_class), ("write_class", space.write_class)):
@@ -232,7 +239,7 @@
     except ValueError as error:
         raise ConfigError(f"settings.{error}") from error
     nvme = read_nvme(nvme_file)
-    _check_nvme(nvme, settings)
+    _check_nvme(nvme, settings, told.limits)
     return Config(
         name=env.get("EDGE_NAME") or told.name,
         listen=read_address(env.get("EDGE_LISTEN") or told.listen, "EDGE_LISTEN"),
--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -634,7 +634,7 @@
     def _come_back_ms(self, held: Held) -> float:
         """The next round deals out the node's room anew: sooner, a refused request is only refused again."""
         wait_ms = max(self._set.tick_ms, self._next_round_ms - self._now)
-        return min(wait_ms, self._set.max_retry_after_ms) if self._set.retry_advice else 0.0
+        return min(wait_ms, self._set.max_retry_after_ms or wait_ms) if self._set.retry_advice else 0.0
 
     def _finish(self, held: Held) -> None:
         """The request is over: nothing more goes out for it."""
--- a/shaletiller/net/http_back.py
+++ b/shaletiller/net/http_back.py
@@ -20,7 +20,9 @@
 from shaletiller.net.body import MOST_BODY, read_bounded
 
 WHOLE_BODY = 16 * 1024  # up to this a body is handed to the socket in one piece
-IDLE_PART = 0.8  # of the node's idle limit: no request may meet a connection that is about to close
+# Of the node's idle limit.  aiohttp sweeps its pool once in each such time, so that a connection closes after
+# twice this part at the latest, which must come before the node's own close.
+IDLE_PART = 0.4
 REPORT_DECODER = msgspec.json.Decoder(dict[str, float])
 
 
--- a/shaletiller/net/nvme/back.py
+++ b/shaletiller/net/nvme/back.py
@@ -253,15 +253,20 @@
             if kept and not association.closing:
                 association.idle_since = time.monotonic()
                 self._idle.append((address, association))
+                asyncio.get_running_loop().call_later(self._idle_s, self._sweep)
             else:
                 association.abort()
 
-    async def _take(self, address: str) -> Association:
+    def _sweep(self) -> None:
+        """Close what has been idle for too long, or was closed by the box."""
         now = time.monotonic()
-        stale = [each for each in self._idle if each[1].closing or now - each[1].idle_since > self._idle_s]
+        stale = [each for each in self._idle if each[1].closing or now - each[1].idle_since >= self._idle_s]
         for each in stale:
             self._idle.remove(each)
             each[1].abort()
+
+    async def _take(self, address: str) -> Association:
+        self._sweep()
         for at in range(len(self._idle) - 1, -1, -1):
             if self._idle[at][0] == address:
                 return self._idle.pop(at)[1]
--- a/shaletiller/net/nvme/front.py
+++ b/shaletiller/net/nvme/front.py
@@ -14,8 +14,8 @@
 import struct
 from dataclasses import dataclass, field
 
+from shaletiller.config import NVME_TRANSFER, NvmeNamespace
 from shaletiller.config import NvmeFront as FrontConfig
-from shaletiller.config import NvmeNamespace
 from shaletiller.core.model import Answer, BadCall, Call, Calls, Exchange, Verdict
 from shaletiller.log import log
 from shaletiller.net.nvme import identify
@@ -138,7 +138,9 @@
         return found
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        stream = PduStream(reader, writer, FROM_HOST)
+        # All that a whole queue may ask for at once fits; see the check of `front.connections` in config.
+        owed = (self.config.queue_depth + 1) * NVME_TRANSFER
+        stream = PduStream(reader, writer, FROM_HOST, owed)
         if len(self._queues) >= self.config.connections:
             log("too many NVMe connections, one closed")
             stream.abort()
@@ -435,7 +437,7 @@
         if space is None:
             raise CommandError(Status.INVALID_NAMESPACE)
         size = command.blocks * space.block_bytes
-        if size > identify.MOST_TRANSFER:
+        if size > NVME_TRANSFER:
             raise CommandError(Status.INVALID_FIELD)
         if command.lba + command.blocks > space.blocks:
             raise CommandError(Status.LBA_RANGE)
--- a/shaletiller/net/nvme/identify.py
+++ b/shaletiller/net/nvme/identify.py
@@ -4,13 +4,12 @@
 
 import struct
 
-from shaletiller.config import NvmeFront, NvmeNamespace
+from shaletiller.config import NVME_TRANSFER, NvmeFront, NvmeNamespace
 from shaletiller.net.nvme.pdu import CQE_BYTES, IN_CAPSULE, SQE_BYTES
 
 IDENTIFY_BYTES = 4096
 VERSION = 0x00010400
 RETRY_DELAYS = (1, 3, 10)  # CRDT1 to CRDT3, in units of 100 ms
-MOST_TRANSFER = 65536  # data of one command
 MOST_ABORTS = 4
 MOST_EVENTS = 4
 
@@ -33,7 +32,7 @@
     data[4:24] = b"shaletiller".ljust(20)
     data[24:64] = b"shaletiller gateway".ljust(40)
     data[64:72] = b"1".ljust(8)
-    data[77] = (MOST_TRANSFER // 4096).bit_length() - 1  # MDTS
+    data[77] = (NVME_TRANSFER // 4096).bit_length() - 1  # MDTS
     struct.pack_into("<HI", data, 78, cntlid, VERSION)
     data[111] = 1  # an I/O controller
     struct.pack_into("<HHH", data, 128, *RETRY_DELAYS)
--- a/shaletiller/net/nvme/stream.py
+++ b/shaletiller/net/nvme/stream.py
@@ -7,15 +7,18 @@
 from shaletiller.net.nvme.pdu import Decoder, Kind, Pdu
 
 READ_BYTES = 65536
-MOST_UNSENT = 1 << 20  # a peer that does not read is cut off rather than remembered
+MOST_UNSENT = 1 << 20
 
 
 class PduStream:
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, allowed: frozenset[Kind],
+        most_unsent: int = MOST_UNSENT,
     ) -> None:
+        """Beyond `most_unsent` bytes a peer that does not read is cut off rather than remembered."""
         self._reader = reader
         self._writer = writer
+        self._most_unsent = most_unsent
         self._decoder = Decoder(allowed)
 
     async def next(self, patience_s: float | None = None) -> Pdu | None:
@@ -34,7 +37,7 @@
         if transport.is_closing():
             return
         self._writer.writelines(units)
-        if transport.get_write_buffer_size() > MOST_UNSENT:
+        if transport.get_write_buffer_size() > self._most_unsent:
             transport.abort()
 
     async def flushed(self) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -93,6 +93,7 @@
         ("shard = 0", "shard = 0\ncolour = 1", "colour"),
         ('"basic"', '"gold"', "front.namespace[0].plan"), ('"read"', '"r"', "front.namespace[0].read_class"),
         ("[front]", "[front", "nvme.toml"),
+        ("[front]", "[front]\nconnections = 256", "front.connections"),
     ],
 )
 def test_a_faulty_nvme_key_is_named(tmp_path: Path, old: str, new: str, key: str) -> None:
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest.mock
 from typing import Any, ClassVar
 
+import aiohttp
+
 from shaletiller import interface as i
-from tests.scenario import PATIENCE_S, SETTINGS, Scenario
+from tests.scenario import PATIENCE_S, SETTINGS, Scenario, read_message
 
 
 class Http(Scenario):
@@ -84,8 +87,12 @@
         await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200 plain Content-Encoding=gzip\n"
                         "expect c1 200 plain")
 
-    async def test_a_dead_node_is_a_failed_connect_and_its_write_is_refused(self) -> None:
-        await self.play("close n1 door\nsend c1 PUT 1 a timeout=400\nexpect c1 503")
+    async def test_a_dead_node_is_a_failed_connect_and_its_write_is_refused_with_a_time(self) -> None:
+        await self.play("close n1 door\nsend c1 PUT 1 a timeout=400")
+        first, heads, _ = await read_message((await self.party("c1")).reader)
+        self.assertTrue(first.startswith("HTTP/1.1 503 "), first)
+        self.assertGreater(float(heads["retry-after"]), 0)
+        self.assertLess(float(heads["retry-after"]), 0.2)
 
     async def test_a_silent_write_fails_by_its_deadline_and_its_connection_closes(self) -> None:
         await self.play("send c1 PUT 1 a timeout=300\nexpect n1 PUT 1 a\nexpect c1 502\nexpect n1 closed")
@@ -221,13 +228,32 @@
 
 
 class Idle(Scenario):
-    settings: ClassVar = {**SETTINGS, "limits": {**SETTINGS["limits"], "conn-idle-ms": 100.0}}
+    settings: ClassVar = {**SETTINGS, "limits": {**SETTINGS["limits"], "conn-idle-ms": 1000.0}}
 
     async def test_an_idle_node_connection_is_not_used_past_its_limit(self) -> None:
-        await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200\nwait 120\n"
-                        "send c1 GET 2\nexpect n1 GET 2\nsend n1 200\nexpect c1 200")
+        await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200\n"
+                        "wait 850\nsend c1 GET 2\nexpect n1 GET 2\nsend n1 200\nexpect c1 200")
         self.assertEqual(len((await self.party("n1")).writers), 2)
 
+    async def test_an_idle_node_connection_closes_before_the_nodes_limit(self) -> None:
+        # Used a second time between two sweeps of aiohttp's pool, it outlives the first of them.
+        await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200\nwait 300")
+        started = time.monotonic()
+        await self.play("send c1 GET 2\nexpect n1 GET 2\nsend n1 200\nexpect c1 200\nexpect n1 closed")
+        self.assertLess(time.monotonic() - started, 1.0)  # the node would close it by then
+
+
+class Silence(Scenario):
+    async def test_a_silent_discovery_is_asked_again_and_the_list_in_hand_serves(self) -> None:
+        short = aiohttp.ClientTimeout(total=0.1)
+        agent = await self.party("d")
+        await agent.next()
+        with unittest.mock.patch("shaletiller.net.discovery.TIMEOUT", short):
+            self.gateway.engine.spawn(self.gateway.discovery.run())
+            self.assertIn("since=1", (await agent.next())[0])
+            self.assertIn("since=1", (await agent.next())[0])
+        await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200")
+
 
 class Unknown(Scenario):
     known = False
