Test the NVMe subset's edges: Connect, keep alive, R2T, queue and memory bounds, box statuses

Shown: 64 KiB writes by R2T in both directions, Connect's checks, a host without keep alive, more commands than the queue holds, write data beyond the bound, a box that did not begin a write (sent again) and one that failed it (failed).

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -252,12 +252,14 @@
         return await queue._answer(cid, data, 0)
 
     async def expect(self, status: str, *rest: str) -> None:
-        if status in ("term", "ic_resp"):
+        if status in ("term", "ic_resp", "resp", "end"):
             assert self.raw is not None
             found = await self.raw.next(PATIENCE_S)
-            kind = p.Kind.C2H_TERM if status == "term" else p.Kind.IC_RESP
-            self.scene.assertEqual(found and found.kind, kind)
-            if found and rest:
+            kinds = {"term": p.Kind.C2H_TERM, "ic_resp": p.Kind.IC_RESP, "resp": p.Kind.CAPSULE_RESP}
+            self.scene.assertEqual(found and found.kind, kinds.get(status))
+            if found and status == "resp":
+                self.scene.assertEqual(p.Status(p.read_completion(found).status).name.lower(), rest[0])
+            elif found and rest:
                 self.scene.assertEqual(found.field("H", 8), int(rest[0]))
             return
         assert self.result is not None
@@ -286,7 +288,7 @@
 
     def __init__(self, scene: Scenario, name: str) -> None:
         super().__init__(scene, name)
-        space = NvmeNamespace(1, 1000, "r", "w", "p", VOLUME, 0)
+        space = NvmeNamespace(1, 1000, "r", "w", "p", VOLUME, 0, block_bytes=scene.box_block)
         self.front = NvmeFront(FrontConfig(subsystem="box", namespace=(space,)), self)
         self.held: dict[str, bytes] = {}
         self.script: Any = None
@@ -324,6 +326,11 @@
         self.scene.assertEqual(found, (what, key(rest[0]), *rest[1:]))
 
     async def send(self, *rest: str) -> None:
+        if rest[0] == "not_ready":
+            queues = [each for found in self.front.associations.values() for each in found.queues.values()]
+            for queue, pending in [(each, held) for each in queues for held in each.pending.values()]:
+                queue._finish(pending, p.Status.NOT_READY)
+            return
         verdict = Verdict.SERVED if rest[0] == "ok" else Verdict.FAILED
         self.answer(Answer(verdict, "".join(rest[1:]).encode()))
 
@@ -346,6 +353,7 @@
 
     servers = ("n1", "n2")
     known: bool = True
+    box_block: int = 4096
     settings: dict[str, Any] = SETTINGS
 
     async def asyncSetUp(self) -> None:
@@ -356,7 +364,9 @@
         for name in (*self.servers, "d"):
             await self.party(name)
         nvme = Path(folder.name) / "nvme.toml"
-        boxes = "".join(f'[[box]]\nnode = "{n}"\nsubsystem = "box"\n' for n in self.servers if n[0] == "b")
+        boxes = "".join(
+            f'[[box]]\nnode = "{name}"\nsubsystem = "box"\nblock_bytes = {self.box_block}\n'
+            for name in self.servers if name[0] == "b")
         nvme.write_text(
             f'[front]\nlisten = "127.0.0.1:0"\n[[front.namespace]]\nnsid = 1\nblocks = 1000\n'
             f'read_class = "read"\nwrite_class = "write"\nplan = "basic"\nvolume = "{VOLUME}"\nshard = 1\n'
--- a/tests/test_scenarios_nvme.py
+++ b/tests/test_scenarios_nvme.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import unittest.mock
 from collections import Counter
 from typing import Any
 
@@ -134,6 +135,61 @@
             await self.play(f"send v{number} hex {raw[:dice.randrange(1, len(raw))].hex()}\nclose v{number}")
         await self.play("send v99 read 7\nexpect n1 GET 7\nsend n1 200 fine\nexpect v99 ok fine")
 
+    async def test_a_whole_queues_worth_of_blocks_by_r2t_arrives_in_order(self) -> None:
+        text = "".join(chr(97 + at) * 4096 for at in range(16))
+        node, bodies = await self.party("n1"), {}
+
+        async def take(server: Server, found: Any) -> None:
+            first, _, body, server.current, _ = found
+            bodies[first.split("key=")[1][:16]] = body[:1] * (len(body) == 4096)
+            await server.send("200")
+
+        node.script = take
+        await self.play(f"send v1 r2t_write 32 {text} 16\nexpect v1 ok")
+        self.assertEqual(bodies, {key(str(32 + at)): bytes([97 + at]) for at in range(16)})
+
+    async def test_connect_is_checked(self) -> None:
+        name = self.gateway.config.nvme.front.subsystem
+        tries = {
+            "another subsystem": p.connect(1, 0, 32, 0, 0xFFFF, "nqn.other", "nqn.h"),
+            "a queue too large": p.connect(1, 0, 1000, 0, 0xFFFF, name, "nqn.h"),
+            "a queue of one": p.connect(1, 0, 1, 0, 0xFFFF, name, "nqn.h"),
+            "a controller of its choice": p.connect(1, 0, 32, 0, 5, name, "nqn.h"),
+            "an I/O queue of no controller": p.connect(1, 1, 32, 0, 9, name, "nqn.h"),
+        }
+        for number, (what, raw) in enumerate(tries.items()):
+            with self.subTest(what):
+                await self.play(f"send v{number} hex {IC_REQ}{raw.hex()}\nexpect v{number} ic_resp\n"
+                                f"expect v{number} resp connect_parameter")
+        early = p.encode(p.Kind.CAPSULE_CMD, p.command(p.Admin.IDENTIFY, 1, length=4096))
+        await self.play(f"send v8 hex {IC_REQ}{early.hex()}\nexpect v8 ic_resp\nexpect v8 resp sequence")
+
+    async def test_a_host_that_keeps_no_keep_alive_is_let_go(self) -> None:
+        raw = p.connect(1, 0, 32, 80, 0xFFFF, self.gateway.config.nvme.front.subsystem, "nqn.h")
+        await self.play(f"send v1 hex {IC_REQ}{raw.hex()}\nexpect v1 ic_resp\nexpect v1 resp success\n"
+                        "expect v1 end")
+        self.assertEqual(self.gateway.nvme.associations, {})
+
+    async def test_a_host_that_ends_the_connection_is_let_go(self) -> None:
+        raw = p.term_req(p.Kind.H2C_TERM, p.PduError(p.Fatal.SEQUENCE, "x"))
+        await self.play(f"send v1 hex {IC_REQ}{raw.hex()}\nexpect v1 ic_resp\nexpect v1 end")
+
+    async def test_more_commands_than_the_queue_holds_end_the_connection(self) -> None:
+        name = self.gateway.config.nvme.front.subsystem
+        entries = [p.command(p.Admin.ASYNC_EVENT, cid) for cid in (3, 4, 5)]
+        events = b"".join(p.encode(p.Kind.CAPSULE_CMD, entry) for entry in entries)
+        enable = p.fabrics(p.Fabrics.PROPERTY_SET, 2, p.struct.pack("<B3xIQ", 0, p.Property.CC, 1))
+        raw = p.connect(1, 0, 2, 0, 0xFFFF, name, "nqn.h") + p.encode(p.Kind.CAPSULE_CMD, enable) + events
+        await self.play(f"send v1 hex {IC_REQ}{raw.hex()}\nexpect v1 ic_resp\nexpect v1 resp success\n"
+                        "expect v1 resp success\nexpect v1 term 2")
+
+    async def test_write_data_beyond_what_may_be_held_is_to_be_tried_again(self) -> None:
+        with unittest.mock.patch("shaletiller.net.nvme.front.MOST_HELD", 4096):
+            await self.play("send v1 write 1 a\nexpect n1 PUT 1\nsend v2 write 2 b\nexpect v2 interrupted\n"
+                            "send n1 200\nexpect v1 ok\nsend v2 write 2 b\nexpect n1 PUT 2\nsend n1 200\n"
+                            "expect v2 ok")
+        self.assertEqual(self.gateway.nvme.held_bytes, 0)
+
 
 class Back(Scenario):
     """HTTP clients and NVMe hosts before an NVMe box that holds shard 1."""
@@ -189,6 +245,44 @@
         await self.play(f"send c1 PUT 5 {'z' * 5000}\nexpect c1 502")
         self.assertEqual(box.writes, [])
 
+    async def test_a_write_that_the_box_did_not_begin_goes_again(self) -> None:
+        await self.play("send c1 PUT 5 a\nexpect b1 write 5 a\nsend b1 not_ready\nexpect b1 write 5 a\n"
+                        "send b1 ok\nexpect c1 200")
+
+    async def test_a_write_that_the_box_fails_is_failed(self) -> None:
+        await self.play("send c1 PUT 5 a\nexpect b1 write 5 a\nsend b1 fault\nexpect c1 502\n"
+                        "expect b1 nothing")
+
+    async def test_an_association_is_kept_and_closes_when_idle(self) -> None:
+        for number in range(3):
+            await self.play(f"send c1 GET {number}\nexpect b1 read {number}\nsend b1 ok\nexpect c1 200")
+        box, back = await self.party("b1"), self.gateway._backs["b1"]
+        self.assertEqual(len(box.front.associations), 1)
+        back._idle_s = 0.0
+        back._sweep()
+        await self.play("wait 50")
+        self.assertEqual(box.front.associations, {})
+
+
+class LargeBlocks(Scenario):
+    servers = ("b1",)
+    box_block = 65536
+
+    async def test_a_write_larger_than_a_capsule_goes_by_r2t(self) -> None:
+        body = "z" * 65536
+        await self.play(f"send c1 PUT 5 {body}\nexpect b1 write 5 {body}\nsend b1 ok\nexpect c1 200\n"
+                        f"send c1 GET 5\nexpect b1 read 5\nsend b1 ok {body}\nexpect c1 200 {body}")
+
+
+class WrongBlocks(Scenario):
+    servers = ("b1",)
+
+    async def test_a_box_of_another_block_size_gets_no_command(self) -> None:
+        box = await self.party("b1")
+        space = box.front.spaces[1]
+        box.front.spaces[1] = type(space)(1, 1000, "r", "w", "p", space.volume, 0, block_bytes=8192)
+        await self.play("send c1 PUT 5 a timeout=300\nexpect c1 503\nexpect b1 nothing")
+
 
 class Mixed(Scenario):
     """Both kinds of clients, both kinds of servers, and servers that cut, stall and turn away."""
