--- a/shaletiller/__main__.py
+++ b/shaletiller/__main__.py
@@ -8,7 +8,7 @@
 
 from shaletiller.config import Config, ConfigError, read_config
 from shaletiller.gateway import Gateway
-from shaletiller.log import log
+from shaletiller.log import forward_libraries, log
 
 
 async def serve(config: Config) -> None:
@@ -25,6 +25,7 @@
 
 
 def main() -> int:
+    forward_libraries()
     try:
         config = read_config()
     except ConfigError as error:
--- a/shaletiller/config.py
+++ b/shaletiller/config.py
@@ -18,7 +18,8 @@
 from shaletiller.settings import read_settings
 
 NVME_FILE = Path(__file__).parent.parent / "deploy" / "nvme.toml"
-RESERVED_SOCKETS = 64  # listeners, discovery, peers, export, and the interpreter's own files
+# Listeners, discovery, peers, export, NVMe hosts, the interpreter's own files; a quarter of a small limit.
+RESERVED_SOCKETS = 64
 NVME_TRANSFER = 65536  # data of one NVMe command
 NVME_MEMORY_PART = 0.5  # of the limit: what NVMe hosts that do not read may hold up at the most
 
@@ -36,8 +37,8 @@
     kind: str = ""
     cell: int = 0
     state: str = "active"
-    weight: float = 1.0
-    started_ms: float = 0.0
+    weight: float | None = None
+    started_ms: float | None = None
 
 
 class ServerList(msgspec.Struct, frozen=True):
@@ -51,7 +52,7 @@
 class Limits(msgspec.Struct, frozen=True):
     cores: float = 1.0
     memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 192.0
-    sockets: Annotated[int, msgspec.Meta(ge=128)] = 1024
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
 
 
 class Identity(msgspec.Struct, frozen=True):
@@ -63,10 +64,10 @@
     discovery: str = ""
     seed: str | int = 0
     limits: Limits = Limits()
-    peer_listen: str = ""
-    peers: tuple[str, ...] = ()
-    peers_all: str = ""
-    known: ServerList = ServerList()
+    peer_listen: str | None = None
+    peers: tuple[str, ...] | None = None
+    peers_all: str | None = None
+    known: ServerList | None = None
 
 
 class NvmeNamespace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -135,11 +136,15 @@
     @property
     def front_sockets(self) -> int:
         """What clients may hold: with the back's part and the reserve it stays within the limit."""
-        return (self.limits.sockets - RESERVED_SOCKETS) // 2
+        return (self.limits.sockets - self._reserved) // 2
 
     @property
     def back_sockets(self) -> int:
-        return self.limits.sockets - RESERVED_SOCKETS - self.front_sockets
+        return self.limits.sockets - self._reserved - self.front_sockets
+
+    @property
+    def _reserved(self) -> int:
+        return min(RESERVED_SOCKETS, self.limits.sockets // 4)
 
 
 def read_address(text: str, key: str) -> tuple[str, int]:
@@ -247,7 +252,7 @@
         seed=_seed(told.seed),
         limits=told.limits,
         peer_listen=read_address(told.peer_listen, "peer_listen") if told.peer_listen else None,
-        peers=tuple(read_address(each, f"peers[{at}]") for at, each in enumerate(told.peers)),
+        peers=tuple(read_address(each, f"peers[{at}]") for at, each in enumerate(told.peers or ())),
         peers_all=read_address(told.peers_all, "peers_all") if told.peers_all else None,
-        known=told.known, settings=settings, nvme=nvme, telemetry=_telemetry(env),
+        known=told.known or ServerList(), settings=settings, nvme=nvme, telemetry=_telemetry(env),
     )
--- a/shaletiller/log.py
+++ b/shaletiller/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 
@@ -22,3 +23,18 @@
         return
     _window[1] += 1
     print(f"shaletiller: {line}", file=sys.stderr, flush=True)
+
+
+class _Forwarded(logging.Handler):
+    """A library's log record as one line of ours, without its traceback."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        cause = f" ({error!r})" if error is not None else ""
+        log(f"{record.name}: {record.getMessage()}{cause}")
+
+
+def forward_libraries() -> None:
+    """Libraries that log by themselves, aiohttp and OpenTelemetry, keep to the rate too: else a flood of
+    malformed requests, or a collector that is down, would flood the log."""
+    logging.basicConfig(level=logging.WARNING, handlers=[_Forwarded()], force=True)
--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -41,8 +41,8 @@
         except ConfigError as error:
             raise BadList(str(error)) from error
     entry = i.NodeEntry(
-        node=row.id, zone=row.zone, shard=row.cell, state=state, weight=row.weight,
-        started_ms=row.started_ms, kind=row.kind,
+        node=row.id, zone=row.zone, shard=row.cell, state=state, kind=row.kind,
+        weight=1.0 if row.weight is None else row.weight, started_ms=row.started_ms or 0.0,
     )
     return Place(entry, row.addr, back(row.id))
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -105,6 +105,12 @@
     assert key in str(caught.value)
 
 
+def test_what_may_be_absent_may_be_null(tmp_path: Path) -> None:
+    bare = GOOD | {"peer_listen": None, "peers": None, "peers_all": None, "known": None}
+    found = read_config(env(tmp_path, bare), tmp_path / "none.toml")
+    assert (found.peer_listen, found.peers, found.peers_all, found.known.servers) == (None, (), None, ())
+
+
 @pytest.mark.parametrize("raw", ["{", "[]", '{"name": "n1"}'])
 def test_a_malformed_file_is_one_line_and_a_code(tmp_path: Path, raw: str) -> None:
     done = subprocess.run(
