Drop the commands of a disabled NVMe controller, and settle a command whose block is turned down

Seen while reading: a block's call that the core turns down left its command without an end, for _answered (net/nvme/front.py) waited for as many exchanges as blocks; the command is now settled once all calls are made. CC.EN cleared left the I/O queues and their attempts running. Fused commands are declined, and request ids of the front have 16 hex digits as on the platform.

--- a/shaletiller/net/nvme/front.py
+++ b/shaletiller/net/nvme/front.py
@@ -50,8 +50,8 @@
 MOST_QUEUES = 16  # I/O queues of one association
 MOST_HELD = 16 << 20  # write data held for all clients together
 NUMBER_OF_QUEUES, KEEP_ALIVE_TIMER, HOST_BEHAVIOUR = 0x07, 0x0F, 0x16
+FUSED = 0x03
 RESET_CC, ENABLED, READY, SHUT_DOWN = 0, 0x1, 0x1, 0x8
-Pairs = dict[int, "Pending"]
 
 
 class CommandError(Exception):
@@ -72,6 +72,7 @@
     wanted: int = 0  # bytes still to come by R2T
     exchanges: list[Exchange] = field(default_factory=list)
     answers: dict[int, Answer] = field(default_factory=dict)
+    put: bool = False  # all of its blocks' calls are made
     done: bool = False
 
 
@@ -91,6 +92,14 @@
         shut = SHUT_DOWN if self.cc >> 14 & 3 else 0
         return (READY if self.cc & ENABLED else 0) | shut
 
+    def set_cc(self, value: int) -> None:
+        """A controller that is disabled loses its I/O queues, and their commands with them."""
+        if self.cc & ENABLED and not value & ENABLED:
+            for number, queue in list(self.queues.items()):
+                if number:
+                    queue.stream.abort()
+        self.cc = value
+
     def end(self) -> None:
         for queue in list(self.queues.values()):
             queue.stream.abort()
@@ -109,7 +118,7 @@
         self._server: asyncio.Server | None = None
         self._queues: set[asyncio.Task[None]] = set()
         self._ids = itertools.count(1)
-        self._prefix = secrets.token_hex(6)
+        self._prefix = secrets.token_hex(4)
 
     async def start(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(self._accepted, host, port)
@@ -129,8 +138,8 @@
         await asyncio.gather(*self._queues, return_exceptions=True)
 
     def next_id(self) -> str:
-        """A request id for a block's call: unique over restarts too."""
-        return f"{self._prefix}{next(self._ids):08x}"
+        """A request id for a block's call, of 16 hex digits and new after a restart too."""
+        return f"{self._prefix}{next(self._ids) & 0xFFFFFFFF:08x}"
 
     def new_association(self, host: str, kato_ms: int) -> Association:
         cntlid = next(n for n in itertools.count(1) if n not in self.associations)
@@ -165,7 +174,7 @@
     def __init__(self, front: NvmeFront, stream: PduStream) -> None:
         self.front = front
         self.stream = stream
-        self.pending: Pairs = {}
+        self.pending: dict[int, Pending] = {}
         self._association: Association | None = None
         self._id = -1
         self._size = 0
@@ -207,14 +216,10 @@
                 self.front.associations.pop(self._association.cntlid, None)
                 self._association.end()
 
-    @staticmethod
-    def _initialize_fields(pdu: Pdu) -> tuple[int, int]:
-        return pdu.field("H", 8), pdu.field("B", 10)
-
     def _initialize(self, pdu: Pdu) -> None:
         if pdu.kind is not Kind.IC_REQ:
             raise PduError(Fatal.SEQUENCE, "no ICReq first")
-        version, alignment = self._initialize_fields(pdu)
+        version, alignment = pdu.field("H", 8), pdu.field("B", 10)
         if version != 0:
             raise PduError(Fatal.UNSUPPORTED, f"PDU version {version}", 8)
         if alignment != 0:
@@ -314,7 +319,7 @@
         elif kind == Fabrics.PROPERTY_SET:
             if offset != Property.CC:
                 raise CommandError(Status.INVALID_FIELD)
-            self._association.cc = command.field("I", 48)
+            self._association.set_cc(command.field("I", 48))
             self._finish(pending, Status.SUCCESS)
         else:
             raise CommandError(Status.INVALID_OPCODE)
@@ -434,6 +439,8 @@
             return
         if command.opcode not in (Io.READ, Io.WRITE):
             raise CommandError(Status.INVALID_OPCODE)
+        if command.raw[1] & FUSED:
+            raise CommandError(Status.INVALID_FIELD)
         if space is None:
             raise CommandError(Status.INVALID_NAMESPACE)
         size = command.blocks * space.block_bytes
@@ -497,7 +504,8 @@
             except BadCall as error:
                 log(f"NVMe call turned down: {error}")
                 answered(Answer(Verdict.FAILED))
-        # Answered before the last block was put: looked at only now, so that no block is left out.
+        # A block may be answered before the next one is put: the command is settled from here on only.
+        pending.put = True
         self._settle(pending)
 
     def _block_call(self, pending: Pending, at: int) -> Call:
@@ -515,11 +523,10 @@
 
     def _answered(self, pending: Pending, at: int, answer: Answer) -> None:
         pending.answers[at] = answer
-        if len(pending.exchanges) == pending.command.blocks:
-            self._settle(pending)
+        self._settle(pending)
 
     def _settle(self, pending: Pending) -> None:
-        if pending.done or len(pending.answers) < pending.command.blocks:
+        if pending.done or not pending.put or len(pending.answers) < pending.command.blocks:
             return
         assert pending.space is not None
         answers = [pending.answers[at] for at in range(pending.command.blocks)]
--- a/tests/test_scenarios_nvme.py
+++ b/tests/test_scenarios_nvme.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from shaletiller import interface as i
-from shaletiller.core.model import Answer, Verdict
+from shaletiller.core.model import Answer, BadCall, Verdict
 from shaletiller.net.nvme import pdu as p
 from tests.scenario import Box, Scenario, Server, key, read_message
 
@@ -148,6 +148,27 @@
         await self.play(f"send v1 r2t_write 32 {text} 16\nexpect v1 ok")
         self.assertEqual(bodies, {key(str(32 + at)): bytes([97 + at]) for at in range(16)})
 
+    async def test_a_controller_that_is_disabled_drops_its_commands(self) -> None:
+        await self.play("send v1 read 7\nexpect n1 GET 7")
+        admin = (await self.party("v1")).association.admin
+        tail = p.struct.pack("<B3xIQ", 0, p.Property.CC, 0)
+        await admin.run(p.fabrics(p.Fabrics.PROPERTY_SET, admin.next_cid(), tail))
+        await self.play("expect n1 closed")
+        self.assertEqual(self.gateway.engine.table, {})
+
+    async def test_a_call_that_is_turned_down_ends_its_command(self) -> None:
+        call, calls = self.gateway.engine.call, []
+
+        def second_is_bad(asked: Any, answer: Any) -> Any:
+            calls.append(asked)
+            if len(calls) == 2:
+                raise BadCall("bad on purpose")
+            return call(asked, answer)
+
+        self.gateway.engine.call = second_is_bad
+        await self.play("send v1 read 7 - 3\nexpect n1 GET 7\nsend n1 200\nexpect n1 GET 9\nsend n1 200\n"
+                        "expect v1 internal")
+
     async def test_connect_is_checked(self) -> None:
         name = self.gateway.config.nvme.front.subsystem
         tries = {
