--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from shaletiller.net.nvme import identify
@@ -75,6 +75,7 @@
     assert (caught.value.why, caught.value.offset) == (p.Fatal.HEADER_FIELD, 1)
 
 
+@settings(derandomize=True, deadline=None)  # the same verdict every time
 @given(st.lists(st.binary(max_size=300), max_size=6))
 def test_any_bytes_are_units_or_an_error_and_never_held_without_bound(parts: list[bytes]) -> None:
     decoder = p.Decoder(p.FROM_HOST)
@@ -87,6 +88,7 @@
         assert len(p.term_req(p.Kind.C2H_TERM, error)) <= 24 + p.MOST_TERM_DATA
 
 
+@settings(derandomize=True, deadline=None)  # the same verdict every time
 @given(st.binary(min_size=1, max_size=4096), st.integers(1, 50))
 def test_units_cut_anywhere_come_out_whole(data: bytes, step: int) -> None:
     raw = p.ic_req() + p.data_pdu(p.Kind.H2C_DATA, 1, 2, 0, data)
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -243,6 +243,26 @@
         self.assertLess(time.monotonic() - started, 1.0)  # the node would close it by then
 
 
+class Bounds(Scenario):
+    sockets = 64
+
+    async def test_clients_beyond_the_limit_are_closed_unread(self) -> None:
+        most = self.gateway.config.front_sockets
+        for number in range(most):
+            await self.play(f"send c{number} GET up\nexpect c{number} 200")
+        await self.play("expect c999 end\nclose c0\nwait 50\nsend c1000 GET up\nexpect c1000 200")
+
+    async def test_a_nodes_connections_are_bounded(self) -> None:
+        most = self.gateway._sockets_a_node()
+        for number in range(most + 2):
+            await self.play(f"send c{number} GET {number}")
+        await self.play("wait 100")
+        node = await self.party("n1")
+        self.assertEqual((len(node.writers), node.came.qsize()), (most, most))
+        await self.play("expect n1 GET 0\nsend n1 200\nexpect c0 200\nwait 50")
+        self.assertEqual((len(node.writers), node.came.qsize()), (most, most))
+
+
 class Silence(Scenario):
     async def test_a_silent_discovery_is_asked_again_and_the_list_in_hand_serves(self) -> None:
         short = aiohttp.ClientTimeout(total=0.1)
