--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -634,7 +634,7 @@
     def _come_back_ms(self, held: Held) -> float:
         """The next round deals out the node's room anew: sooner, a refused request is only refused again.
 
-        A tick more, for the round's timer is late by a part of one: half of the clients came just before it."""
+        A tick more, for the round's timer is a little late: half of the clients came just before it."""
         wait_ms = max(0.0, self._next_round_ms - self._now) + self._set.tick_ms
         return min(wait_ms, self._set.max_retry_after_ms or wait_ms) if self._set.retry_advice else 0.0
 
