--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,16 @@
-# build, test, lint, run and sim; every target uses the environment in .venv.
+# build, test, lint, run and sim; every target uses the environment in $(VENV).
 PYTHON ?= python3
-BIN := .venv/bin
+VENV ?= .venv
+BIN := $(VENV)/bin
 
 .PHONY: build dev test lint run sim clean
 
 build:
-	test -d .venv || $(PYTHON) -m venv .venv
-	$(BIN)/pip -q install -r requirements.txt
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip -q install --disable-pip-version-check -r requirements.txt
 
 dev: build
-	$(BIN)/pip -q install -r requirements-dev.txt
+	$(BIN)/pip -q install --disable-pip-version-check -r requirements-dev.txt
 
 test: dev lint
 	$(BIN)/python -m pytest -q
