Reload the configuration on SIGHUP and move the discovery watch at once

Cause: __main__ had handlers for SIGTERM and SIGINT only; EDGE_DISCOVERY would have hidden the file's new address as well. Checked by a process test with a bad and a good file, and by scenarios with three agents.

--- a/shaletiller/__main__.py
+++ b/shaletiller/__main__.py
@@ -6,25 +6,35 @@
 import signal
 import sys
 
-from shaletiller.config import Config, ConfigError, read_config
+from shaletiller.config import Config, ConfigError, read_config, read_config_again
 from shaletiller.gateway import Gateway
 from shaletiller.log import forward_libraries, log
 
 
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT."""
+    """Run until SIGTERM or SIGINT; SIGHUP reads the configuration anew."""
     told = asyncio.Event()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, told.set)
     loop.set_exception_handler(lambda _, what: log(f"{what.get('message')}: {what.get('exception')!r}"))
     gateway = Gateway(config)
+
+    def reload() -> None:
+        try:
+            gateway.reload(read_config_again())
+        except ConfigError as error:
+            log(f"reload: {error}; the configuration stays as it was")
+
+    # Without a handler SIGHUP ends the process, and all requests that it holds are lost.
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await gateway.start()
     await told.wait()
     await gateway.stop()
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     forward_libraries()
     try:
         config = read_config()
--- a/shaletiller/config.py
+++ b/shaletiller/config.py
@@ -256,3 +256,11 @@
         peers_all=read_address(told.peers_all, "peers_all") if told.peers_all else None,
         known=told.known or ServerList(), settings=settings, nvme=nvme, telemetry=_telemetry(env),
     )
+
+
+def read_config_again(env: Mapping[str, str] = os.environ, nvme_file: Path = NVME_FILE) -> Config:
+    """The configuration after SIGHUP.
+
+    EDGE_DISCOVERY is as old as the process: it wins at the start; from then on the file does."""
+    rest = {name: value for name, value in env.items() if name != "EDGE_DISCOVERY"}
+    return read_config(rest, nvme_file)
--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -30,7 +30,7 @@
         self.counts: dict[str, int] = {}
         self.table: dict[str, Exchange] = {}
         self.tell: Callable[[int | None, str], None] = lambda peer, data: None
-        self.fetch_list: Callable[[], None] = lambda: None
+        self.fetch_list: Callable[[], object] = lambda: None
         self._clock = clock
         self._scheduler = Scheduler(settings, seed)
         self._safe = {spec.name for spec in settings.classes if spec.effect is i.Effect.SAFE}
@@ -48,7 +48,7 @@
             i.Cancel: self._on_cancel, i.SetTimer: self._on_timer, i.Probe: self._on_probe,
             i.Tell: lambda act: self.tell(act.peer, act.data),
             i.Subscribe: lambda act: None,  # the list is watched all the time
-            i.FetchList: lambda act: self.fetch_list(),
+            i.FetchList: self._on_fetch_list,
             i.CloseIdle: self._on_close_idle, i.Log: lambda act: log(act.line),
         }
 
@@ -151,6 +151,9 @@
         if place is not None:
             place.back.close_idle(place.address)
 
+    def _on_fetch_list(self, act: i.FetchList) -> None:
+        self.fetch_list()
+
     def _on_probe(self, act: i.Probe) -> None:
         place = self.route.find(act.node)
         if place is not None:
@@ -162,11 +165,12 @@
         lag_ms = self._clock.now_ms() - sent_ms
         self.decide(i.Probed(place.entry.node, reply.outcome, lag_ms, reply.report))
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Work beside the requests; its errors are logged and end nothing else."""
         task = asyncio.ensure_future(work)
         self._background.add(task)
         task.add_done_callback(self._spawned)
+        return task
 
     def _spawned(self, task: asyncio.Task[None]) -> None:
         self._background.discard(task)
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from shaletiller import interface as i
 from shaletiller.clock import Clock
 from shaletiller.config import Config, read_address
@@ -22,6 +24,9 @@
     from shaletiller.telemetry.otlp import Otlp
 
 KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections and requests still come for a while
+# What a reload leaves as it was.
+FIXED_KEYS = ("name", "listen", "limits", "peer_listen", "peers", "peers_all",
+              "settings", "nvme", "telemetry")
 LEAST_NODES = 16  # the back's sockets are dealt out to at least so many nodes
 
 
@@ -40,6 +45,7 @@
         self.engine.tell = self.peers.tell
         self.engine.fetch_list = lambda: self.engine.spawn(self.discovery.fetch())
         self.nvme = NvmeFront(config.nvme.front, self.engine) if config.nvme.front.listen else None
+        self._watch: asyncio.Task[None] | None = None
         self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
 
     def _sockets_a_node(self) -> int:
@@ -69,9 +75,26 @@
         if self.nvme is not None:
             await self.nvme.start(*read_address(self.config.nvme.front.listen, "front.listen"))
             log(f"NVMe/TCP at {self.nvme.address[0]}:{self.nvme.address[1]}")
-        self.engine.spawn(self.discovery.run())
+        self._watch = self.engine.spawn(self.discovery.run())
         log(f"gateway {self.config.name} listens at {self.front.address[0]}:{self.front.address[1]}")
 
+    def reload(self, config: Config) -> None:
+        """A new configuration, under load: the list comes from its `discovery` from now on.
+
+        The old agent may take no further call, so the watch moves at once; requests and the list in hand are
+        left alone.  The rest is fixed for the life of a process, and is said to be."""
+        fixed = [key for key in FIXED_KEYS if getattr(config, key) != getattr(self.config, key)]
+        if fixed:
+            log(f"reload: {', '.join(fixed)} need a restart, left as they were")
+        moved = config.discovery != self.config.discovery
+        self.config = msgspec.structs.replace(self.config, discovery=config.discovery)
+        if moved and self._watch is not None and not self._watch.done():
+            self.discovery.move(config.discovery)
+            self._watch.cancel()
+            self._watch = self.engine.spawn(self.discovery.run())
+        how = "" if moved else ", as before"
+        log(f"reload: discovery at {config.discovery[0]}:{config.discovery[1]}{how}")
+
     async def stop(self) -> None:
         """A planned stop: clients still come at first, and all that was taken gets its answer."""
         await asyncio.sleep(KEEP_ACCEPTING_S)
--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery: the node list, watched without a pause."""
+"""Discovery: the node list, watched without a pause, at an address that may change meanwhile."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
 AGAIN_MS = 50.0  # a watch goes on while the next call follows within 200 ms
 MOST_LIST = 4 * 1024 * 1024
 TIMEOUT = aiohttp.ClientTimeout(total=(WAIT_MS + SILENCE_MS) / 1000, sock_connect=1.0)
+AT_ONCE = aiohttp.ClientTimeout(total=SILENCE_MS / 1000)  # the whole list is answered without a wait
 STATES = {"active": i.NodeState.READY, "leaving": i.NodeState.DRAINING, "left": i.NodeState.GONE}
 
 
@@ -52,12 +53,16 @@
         self, address: tuple[str, int], known: ServerList, back: Callable[[str], Back],
         apply: Callable[[i.ListKind, int, tuple[Place, ...]], None],
     ) -> None:
-        self._base = f"http://{address[0]}:{address[1]}/discovery/hosts"
         self._back = back
         self._apply = apply
         self._known = known
-        self._version = 0
         self.held = False
+        self.move(address)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on the list comes from this address, at first the whole: its versions may be others."""
+        self._base = f"http://{address[0]}:{address[1]}/discovery/hosts"
+        self._version: int | None = None
 
     def start_from_known(self) -> None:
         """The list as this gateway last had it; it may be old."""
@@ -75,8 +80,8 @@
     async def fetch(self) -> None:
         """The whole list, once, as the module asked; the watch goes on beside it."""
         try:
-            async with aiohttp.ClientSession(timeout=TIMEOUT, trust_env=False) as session:
-                await self._call(session, {})
+            async with aiohttp.ClientSession(timeout=AT_ONCE, trust_env=False) as session:
+                await self._call(session)
         except TROUBLES as error:
             log(f"discovery: whole list: {type(error).__name__} {error}")
             self._apply(i.ListKind.FAILED, 0, ())
@@ -86,15 +91,19 @@
         async with aiohttp.ClientSession(timeout=TIMEOUT, trust_env=False) as session:
             while True:
                 try:
-                    await self._call(session, {"since": str(self._version), "timeout_ms": str(WAIT_MS)})
+                    await self._call(session, self._version)
                 except TROUBLES as error:
                     log(f"discovery: {type(error).__name__} {error}")
                     await asyncio.sleep(AGAIN_MS / 1000)
 
-    async def _call(self, session: aiohttp.ClientSession, params: dict[str, str]) -> None:
-        async with session.get(self._base, params=params) as response:
+    async def _call(self, session: aiohttp.ClientSession, since: int | None = None) -> None:
+        base, whole = self._base, since is None
+        params = {} if whole else {"since": str(since), "timeout_ms": str(WAIT_MS)}
+        async with session.get(base, params=params, timeout=AT_ONCE if whole else TIMEOUT) as response:
             raw = await read_bounded(response.content, MOST_LIST)
             if response.status != 200 or raw is None:
                 raise BadList(f"status {response.status}, or too long")
+        if base != self._base:
+            return  # of the address before: it may be older than what the new one has told
         found = msgspec.json.decode(raw, type=ServerList)
         self._take(found, i.ListKind.FULL if found.full else i.ListKind.CHANGES)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -10,6 +10,7 @@
     send v1 write 7 data | expect v1 ok | expect v1 write_fault dnr | send v1 hex 00ff | expect v1 term 2
     expect b1 write 7 data | send b1 ok | close b1      the same for an NVMe box
     send d n1=leaving                   discovery tells a change
+    reload d2                           the configuration names another discovery from now on
     wait 200                            milliseconds
 
 Names that start with c are HTTP clients, n nodes (shard by number), v NVMe hosts, b NVMe boxes.
@@ -27,7 +28,7 @@
 from typing import Any
 
 from shaletiller.config import NvmeFront as FrontConfig
-from shaletiller.config import NvmeNamespace, read_config
+from shaletiller.config import NvmeNamespace, read_config, read_config_again
 from shaletiller.core.model import Answer, Call, Exchange, Verdict
 from shaletiller.gateway import Gateway
 from shaletiller.net.nvme import pdu as p
@@ -374,15 +375,20 @@
             f'units = 2\nread_timeout_ms = 9000\nwrite_timeout_ms = 9000\n{boxes}')
         nodes = [name for name in self.servers if name[0] in "nb"]
         rows = [self.row(name, "active") for name in nodes] if self.known else []
-        config = Path(folder.name) / "config.json"
-        config.write_text(json.dumps({
+        self.config, self.nvme = Path(folder.name) / "config.json", nvme
+        self.told = {
             "name": "g0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.parties['d'].port}",
             "seed": "8c1f", "settings": self.settings, "limits": {"sockets": self.sockets},
-            "known": {"version": 1, "full": True, "servers": rows}}))
-        env = {"EDGE_CONFIG": str(config), **await self.environment()}
-        self.gateway = Gateway(read_config(env, nvme))
+            "known": {"version": 1, "full": True, "servers": rows}}
+        self.config.write_text(json.dumps(self.told))
+        self.env = {"EDGE_CONFIG": str(self.config), **await self.environment()}
+        self.gateway = Gateway(read_config(self.env, nvme))
         await self.gateway.start()
 
+    def reload(self, port: int) -> None:
+        self.config.write_text(json.dumps({**self.told, "discovery": f"127.0.0.1:{port}"}))
+        self.gateway.reload(read_config_again(self.env, self.nvme))
+
     async def environment(self) -> dict[str, str]:
         """Further variables of the gateway's environment."""
         return {}
@@ -422,6 +428,9 @@
                     await asyncio.sleep(float(words[0]) / 1000)
                     continue
                 party = await self.party(words[0])
+                if verb == "reload":
+                    self.reload(party.port)
+                    continue
                 named = dict(word.split("=", 1) for word in words[1:] if re.match(r"[\w-]+=", word))
                 plain = [word for word in words[1:] if not re.match(r"[\w-]+=", word)]
                 await getattr(party, verb)(*plain, **named)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -38,9 +38,11 @@
                 stderr=asyncio.subprocess.DEVNULL)
             try:
                 self.assertEqual(await self.up(port, 20.0), "HTTP/1.1 200 OK")
+                await self.reload(process, path, told)
                 sent = time.monotonic()
                 process.send_signal(signal.SIGTERM)
                 await asyncio.sleep(0.4)
+                await self.reload(process, path, told)
                 self.assertEqual(await self.up(port, 0.1), "HTTP/1.1 200 OK")  # still accepting
                 self.assertEqual(await asyncio.wait_for(process.wait(), 10.0), 0)
                 self.assertGreater(time.monotonic() - sent, 0.7)
@@ -49,6 +51,19 @@
                     process.kill()
                     await process.wait()
 
+    async def reload(self, process: asyncio.subprocess.Process, path: Path, told: dict[str, object]) -> None:
+        """SIGHUP with a bad file changes nothing, with a good one the watch moves."""
+        called = asyncio.Event()
+        agent = await asyncio.start_server(lambda reader, writer: called.set(), "127.0.0.1", 0)
+        address = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
+        for text in ('{"settings": ', json.dumps({**told, "discovery": address})):
+            self.assertFalse(called.is_set())
+            path.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+        await asyncio.wait_for(called.wait(), 3.0)
+        agent.close()
+
     async def up(self, port: int, patience_s: float) -> str:
         until = time.monotonic() + patience_s
         while True:
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 import unittest.mock
 from typing import Any, ClassVar
@@ -10,7 +11,7 @@
 import aiohttp
 
 from shaletiller import interface as i
-from tests.scenario import PATIENCE_S, SETTINGS, Scenario, read_message
+from tests.scenario import PATIENCE_S, SETTINGS, Scenario, Server, read_message
 
 
 class Http(Scenario):
@@ -275,6 +276,35 @@
         await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200")
 
 
+class Reload(Scenario):
+    async def environment(self) -> dict[str, str]:
+        return {"EDGE_DISCOVERY": f"127.0.0.1:{self.parties['d'].port}"}  # wins at the start, and only then
+
+    async def test_a_new_configuration_moves_the_watch_at_once_and_loses_nothing(self) -> None:
+        old, new, third = [await self.party(name) for name in ("d", "d2", "d3")]
+        self.assertIn("since=1&", (await old.next())[0])
+        await self.play("send c1 GET 1 timeout=5000\nexpect n1 GET 1\nreload d2\nreload d2")
+        first, _, _, new.current, _ = await asyncio.wait_for(new.next(), 0.2)
+        self.assertEqual(first, "GET /discovery/hosts HTTP/1.1")  # its versions may be others
+        rows = [self.row("n1", "active"), self.row("n2", "leaving")]
+        whole = json.dumps({"version": 0, "full": True, "servers": rows})
+        await Server.send(new, "200", whole)
+        self.assertIn("since=0&", (await new.next())[0])
+        await self.play("send n1 200 held\nexpect c1 200 held\nsend c2 PUT 2 x shard=2 timeout=200\n"
+                        "expect c2 503\nexpect n2 nothing\nreload d3")
+        await asyncio.wait_for(third.next(), 0.2)
+        self.assertEqual((old.came.qsize(), new.came.qsize()), (0, 0))
+
+    async def test_an_answer_of_the_address_before_is_left_out(self) -> None:
+        self.gateway.engine.fetch_list()  # beside the watch, and not ended with it
+        agent = await self.party("d")
+        calls = [await agent.next() for _ in range(2)]
+        agent.current = next(call[3] for call in calls if "since" not in call[0])
+        await self.play("reload d2")
+        await Server.send(agent, "200", json.dumps({"version": 9, "full": True, "servers": []}))
+        await self.play("wait 50\nsend c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200")
+
+
 class Unknown(Scenario):
     known = False
 
