--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -73,7 +73,8 @@
 
     def nodes(self, kind: i.ListKind, version: int, places: tuple[Place, ...]) -> None:
         """News of the node list."""
-        self.route.learn(places)
+        if kind is not i.ListKind.FAILED:
+            self.route.learn(places, whole=kind is not i.ListKind.CHANGES)
         self.decide(i.NodeList(kind, tuple(place.entry for place in places), version))
 
     def decide(self, event: i.Event) -> None:
--- a/shaletiller/core/route.py
+++ b/shaletiller/core/route.py
@@ -19,20 +19,29 @@
 
 
 class Route:
-    """Every node that the list has named in this life; one that left it stays known."""
+    """The nodes of the list; one that has left it is forgotten, for the next one has another name."""
 
     def __init__(self, max_attempts: int, second_copies: bool) -> None:
         self._max_attempts = max_attempts
         self._second_copies = second_copies
         self._places: dict[str, Place] = {}
 
-    def learn(self, places: Sequence[Place]) -> None:
-        for place in places:
-            known = self._places.get(place.entry.node)
-            moved = known is not None and known.address != place.address
-            if known is not None and (moved or place.entry.state is not i.NodeState.READY):
+    def learn(self, places: Sequence[Place], whole: bool) -> None:
+        """News of the list, or the whole of it: what a whole list does not name has left."""
+        told = {place.entry.node: place for place in places}
+        for node, known in list(self._places.items()):
+            place = told.get(node)
+            if place is None and not whole:
+                continue
+            if place is None or place.address != known.address or place.entry.state is not i.NodeState.READY:
                 known.back.close_idle(known.address)
-            self._places[place.entry.node] = place
+            if place is None:
+                del self._places[node]
+        for node, place in told.items():
+            if place.entry.state is i.NodeState.GONE:
+                self._places.pop(node, None)
+            else:
+                self._places[node] = place
 
     def find(self, node: str) -> Place | None:
         return self._places.get(node)
--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -28,6 +28,8 @@
 MOST_DOUBLED = 10  # how often patience doubles while a node stays silent
 LOSING = 0.5  # answers get lost while more than this part of the overdue ones never come
 LOSS_PART = 0.2  # an overdue attempt's part in the estimate that overdue answers are lost
+LEAST_RATE = 0.05  # a class asked for less often than this, in requests a second, gets only leftover
+FORGET_MS = 15_000.0  # a volume that asks for nothing so long is forgotten: its stores are full again
 PENALTY = 0.0  # what a refusal costs in the payoff; the worth lost is counted by not earning it
 
 RESERVE, SHARE, BEYOND = range(3)  # the value zones: what is still due to the volume
@@ -36,7 +38,7 @@
 
 # ---- the paper's payoff
 
-@lru_cache(maxsize=1 << 16)
+@lru_cache(maxsize=1 << 13)
 def batch_queue(arrival: float, batch: float, slots: int, rounds: int) -> tuple[float, float]:
     """Served rate and full-queue probability of M/M/1^[n]/Kn.
 
@@ -81,25 +83,31 @@
     slots = [0] * len(demands)
     worth = [0.0] * len(demands)
     room = capacity
+
+    def step(at: int) -> tuple[float, float]:
+        """The payoff of one slot more for a class, and the gain for its units."""
+        demand = demands[at]
+        rate = payoff_rate(demand.arrival, batch, slots[at] + 1, demand.rounds, demand.worth)
+        return rate, (rate - worth[at]) / demand.units
+
+    steps = {at: step(at) for at, demand in enumerate(demands) if demand.arrival > 0}
     while True:
-        best, best_gain, best_rate = -1, 1e-9, 0.0
-        for at, demand in enumerate(demands):
-            if demand.arrival <= 0 or demand.units > room:
-                continue
-            rate = payoff_rate(demand.arrival, batch, slots[at] + 1, demand.rounds, demand.worth)
-            gain = (rate - worth[at]) / demand.units
-            if gain > best_gain:
-                best, best_gain, best_rate = at, gain, rate
+        best, best_gain = -1, 1e-9
+        for at, (_, gain) in steps.items():
+            if gain > best_gain and demands[at].units <= room:
+                best, best_gain = at, gain
         if best < 0:
             return slots
         slots[best] += 1
-        worth[best] = best_rate
+        worth[best] = steps[best][0]
         room -= demands[best].units
+        steps[best] = step(best)  # no other class's step has changed
 
 
 def _rounded(rate: float) -> float:
-    """A rate to about a tenth, so that equal work is remembered."""
-    return 0.0 if rate <= 0 else math.exp(round(math.log(rate) * 10) / 10)
+    """A rate to about a tenth, so that equal work is remembered.  One that has died away is none: on its way
+    to zero it would pass ever new figures, each to be worked out and remembered."""
+    return 0.0 if rate < LEAST_RATE else math.exp(round(math.log(rate) * 10) / 10)
 
 
 @dataclass(slots=True)
@@ -139,6 +147,7 @@
     limit: Store
     served: Recent = field(default_factory=Recent)
     others_rate: float = 0.0
+    asked_ms: float = 0.0
     shares: dict[int, Store] = field(default_factory=dict)
 
 
@@ -230,6 +239,7 @@
         self._now = self._start_ms = 0.0
         self._woke_ms = -math.inf
         self._next_round_ms = math.inf
+        self._forget_ms = 0.0
         self._actions: list[i.Action] = []
         self._handlers: dict[type, Callable[[Any], None]] = {
             i.NodeList: self._on_list, i.Request: self._on_request, i.Attempted: self._on_outcome,
@@ -269,6 +279,8 @@
         self._next_round_ms = self._now + self._round_ms
         self._actions.append(i.SetTimer(self._round_ms, "round"))
         self._answer_expiring()
+        if self._now >= self._forget_ms:
+            self._forget_volumes()
         for lane in self._lanes.values():
             self._step_capacity(lane)
             self._split(lane)
@@ -381,8 +393,10 @@
             if held.spec.in_order and held.ask.extent:
                 self._turns[held.ask.extent].busy += 1
             self._actions.append(i.Send(held.ask.request, lane.node))
-            token = f"overdue {held.ask.request} {held.sends - 1}"
-            self._actions.append(i.SetTimer(self._patience_ms(held, lane), token))
+            patience_ms = self._patience_ms(held, lane)
+            if self._now + patience_ms < held.deadline_ms:  # by then the attempt has its outcome
+                token = f"overdue {held.ask.request} {held.sends - 1}"
+                self._actions.append(i.SetTimer(patience_ms, token))
 
     # ---- arrivals
 
@@ -434,8 +448,19 @@
             plan, hosts = self._plans[ask.plan], max(1, ask.volume_hosts)
             stores = Store(math.inf, self._now), Store(0.0, self._start_ms)
             self._volumes[ask.volume] = Volume(plan, hosts, *stores)
+        self._volumes[ask.volume].asked_ms = self._now
         return self._volumes[ask.volume]
 
+    def _forget_volumes(self) -> None:
+        """Volumes come and go for as long as a host lives."""
+        self._forget_ms = self._now + FORGET_MS
+        old = [name for name, each in self._volumes.items() if self._now - each.asked_ms >= FORGET_MS and
+               each.plan.limit_rate * FORGET_MS / 1000 >= each.plan.limit_burst]
+        for name in old:
+            del self._volumes[name]
+            for lane in self._lanes.values():
+                lane.excess.pop(name, None)
+
     def _within_limit(self, held: Held) -> bool:
         """Rule 5 needs proof: spend only this host's even part, empty at the start, for what was sent before
         a restart is forgotten; never the slack.  What waits counts, and is drawn at its send: drawn at once,
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -9,7 +9,7 @@
 from shaletiller import interface as i
 from shaletiller.clock import SettableClock
 from shaletiller.core.engine import Engine
-from shaletiller.core.model import Answer, Call, Exchange, Reply, Verdict
+from shaletiller.core.model import Answer, BadCall, Call, Exchange, Reply, Verdict
 from shaletiller.core.route import Place
 from tests.helpers import SAFE, entry, settings
 
@@ -140,6 +140,27 @@
         self.assertEqual(self.back.closed, 1)
 
 
+    async def test_a_node_that_left_is_forgotten_with_its_connections(self) -> None:
+        for number in range(50):
+            new = Place(entry(f"m{number}"), f"b:{number}", self.back)
+            gone = Place(entry(f"m{number - 1}", state=i.NodeState.GONE), "", self.back)
+            self.engine.nodes(i.ListKind.CHANGES, number, (new, gone))
+        self.assertEqual(set(self.engine.route._places), {"n1", "m49"})
+        self.engine.nodes(i.ListKind.FAILED, 0, ())
+        self.engine.nodes(i.ListKind.FULL, 50, (new,))
+        self.assertEqual((set(self.engine.route._places), self.back.closed), ({"m49"}, 50))
+
+    async def test_an_id_is_not_taken_again_while_an_attempt_of_it_is_out(self) -> None:
+        await self.call(WRITE)
+        self.engine._on_refuse(i.Refuse("w1"))
+        with self.assertRaises(BadCall):
+            self.engine.call(replace(WRITE), self.answers.append)
+        self.back.out[0].set_result(Reply(i.Outcome.OK))
+        await self.settle()
+        await self.call(WRITE)
+        self.assertEqual(len(self.back.out), 2)
+
+
 class ClockTest(unittest.TestCase):
     def test_timers_come_due_in_order_and_a_cancelled_one_does_not(self) -> None:
         clock, seen = SettableClock(5.0), []
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from shaletiller import interface as i
+from shaletiller.logic import _rounded
 from tests.helpers import Host, entry
 
 
@@ -235,3 +236,41 @@
     lane = host.scheduler._lanes[0]
     assert lane.lag_ms == 20
     assert lane.verdict >= 0
+
+
+def test_what_a_host_remembers_ends_with_what_it_belongs_to() -> None:
+    """Clients, volumes, requests and nodes that are always new, as on a long day."""
+    host = Host()
+    sizes = []
+    for n in range(1200):
+        if n % 40 == 0:
+            host.give(i.NodeList(i.ListKind.FULL, (entry(f"n{n}"),)))
+        host.ask(f"r{n}", volume=f"v{n}", units=8.0)
+        if f"r{n}" in host.sent():
+            host.answer(f"r{n}", node=host.scheduler._lanes[0].node)
+        host.run_to(host.now + 50)
+        told = host.scheduler
+        sizes.append((len(told._volumes), len(told._lanes[0].excess), len(told._nodes), len(told._held),
+                      len(told._out), len(host.timers)))
+    first, second = (map(max, *part) for part in (sizes[:700], sizes[700:]))
+    for early, late in zip(first, second, strict=True):
+        assert late <= early + 12
+
+
+def test_a_volume_that_has_drawn_on_its_limit_is_remembered_until_its_store_is_full() -> None:
+    host = Host(plans=(i.PlanSpec("basic", limit_rate=1, limit_burst=100),))
+    host.ask("r1")
+    host.run_to(50_000)
+    assert "v1" in host.scheduler._volumes
+
+
+def test_a_rate_that_dies_away_takes_no_slot_and_no_memory() -> None:
+    assert {_rounded(0.04 * 0.5 ** n) for n in range(1000)} == {0.0}
+    assert _rounded(5.0) > 4.0
+
+
+def test_an_attempt_whose_outcome_comes_first_is_not_watched() -> None:
+    host = Host()
+    for n in range(20):
+        host.ask(f"w{n}", expires_in_ms=100.0)
+    assert not [token for _, _, token in host.timers if token.startswith("overdue")]
