Refuse at once what would wait past its aim

At fault: _may_wait let a request wait that the lag alone says comes too late, and _drop_hopeless refused it up to an aim later, its connection held all the while.

--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -437,12 +437,21 @@
         """Refuse only if the class queue is full and the node's next K rounds are taken."""
         if held.deadline_ms <= self._next_round_ms + self._set.tick_ms:
             return False
+        if self._now + self._wait_ms(held, lane) + lane.lag_ms * self._size(held) > held.due_ms:
+            return False
         rounds = self._rounds[held.kind // BANDS]
         if len(lane.queues[held.kind]) < rounds * lane.slots[held.kind]:
             return True
         waiting = sum(each.ask.units for queue in lane.queues for each in queue)
         return lane.taken + waiting + held.ask.units <= rounds * lane.capacity
 
+    def _wait_ms(self, held: Held, lane: Lane) -> float:
+        """How long what waits ahead of a request takes a node that gets through what is out in its lag."""
+        worth = self._worth[held.kind]
+        ahead = sum(each.ask.units for kind, queue in enumerate(lane.queues) if self._worth[kind] >= worth
+                    for each in queue)
+        return ahead / lane.taken * lane.lag_ms if lane.taken > 0 else 0.0
+
     def _volume(self, ask: i.Request) -> Volume:
         if ask.volume not in self._volumes:
             plan, hosts = self._plans[ask.plan], max(1, ask.volume_hosts)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -306,3 +306,17 @@
     host.run_to(130)
     waiting = [f"f{n}" for n in range(12) if not host.finals(f"f{n}") and f"f{n}" not in host.sent()]
     assert not waiting  # eight units take two and a half times as long as the mean: not in 250 ms
+
+
+def test_what_would_wait_past_its_aim_is_refused_at_once_and_holds_no_connection() -> None:
+    host = Host()
+    lane = host.scheduler._lane_for(0)
+    lane.capacity, lane.slots = 8.0, [4] * len(lane.slots)
+    fill(host, 6)
+    assert [bool(host.finals(f"f{n}")) for n in range(6)] == [False] * 6  # four are out, two wait: there is room
+    lane.lag_ms = 200.0  # half a lag for the two, and one for itself, is more than an aim of 250
+    host.ask("late")
+    assert host.finals("late")
+    lane.lag_ms = 10.0
+    host.ask("soon")
+    assert not host.finals("soon")
