In a crowd of connections, tell clients to leave with their answers

A probe of the door: all 192 places held by connections with one request behind them, idle for less than 2 s, 150 at a time, the listener paused. At fault: an idle connection could go only after 2 s, and nothing told its client to leave before.

--- a/shaletiller/net/door.py
+++ b/shaletiller/net/door.py
@@ -31,6 +31,7 @@
 ACCEPTS = 64  # new connections taken from the kernel in one go
 BEGUN = 16  # and begun in one go: each costs as much as a request, and those that are there wait meanwhile
 BACKLOG = 1024
+CROWDED_PART = 0.5  # of the places
 # A head's bounds: what one connection can hold of the memory.
 HEAD = {"max_line_size": 4096, "max_field_size": 4096, "max_headers": 32, "read_bufsize": 32 * 1024}
 TOO_LATE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -93,7 +94,7 @@
         if self.arrivals:  # none where what stood behind an upgrade is parsed late
             self.arrivals.popleft()
         self.since_ms = self.door.clock.now_ms()
-        if resp.status >= 400 and not resp.keep_alive and self.transport is not None:
+        if 400 <= resp.status < 500 and not resp.keep_alive and self.transport is not None:
             await self._linger(self.transport)
         else:
             self.state = State.ASKED if self._messages else State.IDLE
@@ -161,6 +162,10 @@
     def connections(self) -> int:
         return len(self._open) + len(self._taking) + len(self._fresh)
 
+    @property
+    def crowded(self) -> bool:
+        return self.connections >= self._most * CROWDED_PART
+
     def come(self, connection: Connection) -> Connection:
         self._open[connection] = None
         return connection
--- a/shaletiller/net/http_front.py
+++ b/shaletiller/net/http_front.py
@@ -125,7 +125,7 @@
         path, connection = request.raw_path, request.protocol
         assert isinstance(connection, Connection)
         if path == "/up":
-            return web.Response(status=200 if self._ready() else 503)
+            return self._leaving(web.Response(status=200 if self._ready() else 503))
         if path != "/api" and not path.startswith("/api?"):
             return self._bad(404, "no such path")
         if request.headers.get("Transfer-Encoding", "chunked").lower() != "chunked":
@@ -178,6 +178,11 @@
             response = web.Response(status=503, headers=heads)
         else:
             response = web.Response(status=502)
-        if self._closing:
+        return self._leaving(response)
+
+    def _leaving(self, response: web.Response) -> web.Response:
+        """In a crowd a client is told to leave with its answer: else those who ask once and stay hold all
+        places until they may be closed unasked, and no one else is taken in."""
+        if self._closing or self._door.crowded:
             response.force_close()
         return response
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -277,6 +277,8 @@
     sockets = 64
 
     async def fill(self, lines: str) -> None:
+        # Clients that heed no advice to leave.
+        self.enterContext(unittest.mock.patch("shaletiller.net.door.CROWDED_PART", 2.0))
         for number in range(self.gateway.config.front_sockets):
             await self.play(lines.replace("N", str(number)))
 
@@ -287,6 +289,15 @@
             await self.play("send c999 GET up\nexpect c999 200\nexpect c01 end\n"
                             "send c21 GET up\nexpect c21 200\nsend n1 200 late\nexpect c0 200 late")
 
+    async def test_in_a_crowd_clients_leave_with_their_answers(self) -> None:
+        await self.play("send c99 GET 1 shard=9 timeout=50\nexpect c99 503\nclose c99")
+        for number in range(self.gateway.config.front_sockets // 2 - 1):
+            await self.play(f"send c{number} GET up\nexpect c{number} 200")
+        await self.play("send c97 raw ''\n"
+                        "send c98 GET 1 shard=9 timeout=50\nexpect c98 503 Connection=close\nexpect c98 end\n"
+                        "send c1 GET 2\nexpect n1 GET 2\nsend n1 200 ok\nexpect c1 200 ok Connection=close\n"
+                        "send c96 GET up\nexpect c96 200 Connection=close")
+
     async def test_silent_newcomers_keep_no_one_out(self) -> None:
         await self.fill("send cN raw ''")
         started = time.monotonic()
