--- a/shaletiller/net/door.py
+++ b/shaletiller/net/door.py
@@ -31,7 +31,7 @@
 ACCEPTS = 64  # new connections taken from the kernel in one go
 BEGUN = 16  # and begun in one go: each costs as much as a request, and those that are there wait meanwhile
 BACKLOG = 1024
-CROWDED_PART = 0.5  # of the places
+CROWDED_PART = 0.75  # of the places: above the third of the descriptors that clients with requests may hold
 # A head's bounds: what one connection can hold of the memory.
 HEAD = {"max_line_size": 4096, "max_field_size": 4096, "max_headers": 32, "read_bufsize": 32 * 1024}
 TOO_LATE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
