Use a draining node until it turns work away or its grace is nearly up

At fault: Scheduler._place took only ready nodes, while rule 3 leaves 2 s and no other node holds the data; Route.learn closed a draining node's idle connections.

--- a/shaletiller/core/route.py
+++ b/shaletiller/core/route.py
@@ -33,7 +33,7 @@
             place = told.get(node)
             if place is None and not whole:
                 continue
-            if place is None or place.address != known.address or place.entry.state is not i.NodeState.READY:
+            if place is None or place.address != known.address or place.entry.state is i.NodeState.GONE:
                 known.back.close_idle(known.address)
             if place is None:
                 del self._places[node]
--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -231,6 +231,7 @@
         self._usual = [0.0] * len(settings.classes)  # lag by class over all nodes, for the mean size
         self._losing = 0.0  # the part of overdue answers that never come
         self._nodes: dict[str, i.NodeEntry] = {}
+        self._drains: dict[str, float] = {}  # until when a draining node may still get work
         self._lanes: dict[int, Lane] = {}
         self._held: dict[str, Held] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
@@ -317,7 +318,7 @@
 
     def _fits(self, held: Held, lane: Lane, joins: bool = False) -> bool:
         """Whether the node has room and, unless it joins a run, is quick enough for work of this worth."""
-        if lane.node is None:
+        if lane.node is None or self._now >= self._drains.get(lane.node, math.inf):
             return False
         slow = lane.lag_ms > self._late_ms(held) and not joins
         unpaid = 1 - self._zones[held.kind % BANDS]
@@ -568,6 +569,8 @@
             self._learn_lag(held, event.lag_ms / self._size(held))
             lane.verdict += 1 if event.lag_ms <= self._late_ms(held) else -1
         elif event.outcome in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED):
+            if attempt.node in self._drains:
+                self._drains[attempt.node] = self._now  # it takes nothing more
             lane.verdict -= 1  # a reset or an error says nothing of load: to fall for it starves a sound node
 
     # ---- answers that do not come
@@ -747,18 +750,31 @@
             if self._set.subscribed:
                 self._actions.append(i.SetTimer(max(self._round_ms, self._set.ask_within_ms / 4), "ask"))
             return
-        if event.kind is not i.ListKind.CHANGES:
-            self._nodes.clear()
-        self._nodes.update((entry.node, entry) for entry in event.entries)
-        self._nodes = {node: at for node, at in self._nodes.items() if at.state is not i.NodeState.GONE}
+        before = self._nodes
+        told = {entry.node: entry for entry in event.entries}
+        kept = before | told if event.kind is i.ListKind.CHANGES else told
+        self._nodes = {node: at for node, at in kept.items() if at.state is not i.NodeState.GONE}
+        self._learn_drains(before)
         for lane in self._lanes.values():
             self._place(lane)
             self._release(lane)
 
+    def _learn_drains(self, before: dict[str, i.NodeEntry]) -> None:
+        """Rule 3 leaves a draining node some time, and no other holds its data: it gets work until it turns
+        some away or shortly before that time is up, for a send may take a connection.  Only where this host
+        saw it ready: else it may have been told long ago, in a life before."""
+        until_ms = self._now + self._set.drain_grace_ms - self._set.connect_timeout_ms - 2 * self._round_ms
+        drains = {node for node, at in self._nodes.items() if at.state is i.NodeState.DRAINING}
+        for node in drains - self._drains.keys():
+            seen = node in before and before[node].state is i.NodeState.READY
+            self._drains[node] = until_ms if seen else self._now
+        self._drains = {node: until for node, until in self._drains.items() if node in drains}
+
     def _place(self, lane: Lane) -> None:
-        """The ready node that holds the shard; draining stops at once and held work waits for a successor."""
-        ready = [entry for entry in self._nodes.values() if entry.state is i.NodeState.READY]
-        found = [entry for entry in ready if entry.shard == lane.shard]
+        """The ready node that holds the shard, else a draining one while it may; work waits for the next."""
+        holds = [entry for entry in self._nodes.values() if entry.shard == lane.shard]
+        found = [entry for entry in holds if entry.state is i.NodeState.READY] or [
+            entry for entry in holds if self._drains.get(entry.node, 0.0) > self._now]
         entry = max(found, key=lambda each: (each.started_ms, each.node)) if found else None
         node = entry.node if entry else None
         if node != lane.node:
