--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import json
+import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
+import tomllib
 import unittest
 from pathlib import Path
 
@@ -24,6 +27,28 @@
         return int(found.getsockname()[1])
 
 
+class DeployTest(unittest.TestCase):
+    def test_the_build_compiles_the_package(self) -> None:
+        """The file system is read-only at a start: what is not compiled by then is compiled at each start."""
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        with tempfile.TemporaryDirectory() as folder:
+            shutil.copytree(ROOT / "shaletiller", Path(folder) / "shaletiller",
+                            ignore=shutil.ignore_patterns("__pycache__"))
+            (Path(folder) / ".venv" / "bin").mkdir(parents=True)
+            (Path(folder) / ".venv" / "bin" / "python").symlink_to(sys.executable)
+            subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=folder, check=True)
+            sources = {path.stem for path in Path(folder, "shaletiller").rglob("*.py")}
+            compiled = {path.name.split(".")[0] for path in Path(folder, "shaletiller").rglob("*.pyc")}
+        self.assertEqual(compiled, sources)
+
+    def test_the_lists_name_every_source_of_the_gateway(self) -> None:
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        listed = [ROOT / name for name in deploy["policy"] + deploy["node"]]
+        for source in (ROOT / "shaletiller").rglob("*.py"):
+            alone = source.parent == ROOT / "shaletiller" and source.name in ("__init__.py", "adapter.py")
+            self.assertTrue(alone or any(each in (source, *source.parents) for each in listed), source)
+
+
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def test_it_gets_ready_and_ends_on_sigterm(self) -> None:
         port = free_port()
