Listen with SO_REUSEPORT, and take what is queued before the listener closes

Checked by a test that binds a second Door on the gateway's port: it fails without the flag. Closing a listener resets the connections in its queue; shut() now accepts them first, which a test with the reader removed shows (a reset without it, a 200 with it).

--- a/shaletiller/net/door.py
+++ b/shaletiller/net/door.py
@@ -239,7 +239,10 @@
 
     def listen(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        # A second process of the gateway listens beside this one while it replaces it: without SO_REUSEPORT
+        # its bind fails with EADDRINUSE and it ends before it has served a request.
+        self._listener = socket.create_server(
+            (host, port), family=family, backlog=BACKLOG, reuse_port=True)
         self._listener.setblocking(False)
         self.address = self._listener.getsockname()[:2]
         asyncio.get_running_loop().add_reader(self._listener, self._accept)
@@ -383,9 +386,21 @@
         self._timer = self.clock.call_later(SWEEP_MS, self._sweep)
 
     def shut(self) -> None:
-        """No further connections."""
+        """No further connections; those that the kernel has queued for this listener are taken first.
+
+        A listener that closes resets what waits in its queue, while the other process of the gateway would
+        have taken those clients."""
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
+            while waiting(self._listener):
+                try:
+                    taken, _ = self._listener.accept()
+                except OSError:
+                    break
+                taken.setblocking(False)
+                self._fresh.append((self.clock.now_ms(), taken))
+            if self._fresh and not self._begins:
+                self._begin()
             self._listener.close()
             self._listener = None
 
