Open a door for operators: READY, STATS, DISABLE, ENABLE, DRAIN and UNDRAIN

Ruled out: a slow /up (it answers at once on the short way).

- net/admin.py: `admin` or $EDGE_ADMIN, a task a connection, one line of at most 256 bytes within 4 s, one answer beginning done or error.
- core/figures.py: results by class and verdict counted in relay; forwards in book (all but CONNECT_FAILED and MOOT) plus what is out; outstanding, discovered, ejected read at the call; SIGHUP counts.
- core/bans.py: bans kept in $TMPDIR, read at the start and when the file changes; the engine names a banned node gone to route and module.
- Drain: /up 503, Connection: close on answers, idle connections closed.

Tests: tests/test_operators.py; without the mask or the idle close the hand and drain tests fail.

--- a/shaletiller/__main__.py
+++ b/shaletiller/__main__.py
@@ -23,14 +23,8 @@
     loop.set_exception_handler(lambda _, what: log(f"{what.get('message')}: {what.get('exception')!r}"))
     gateway = Gateway(config)
 
-    def reload() -> None:
-        try:
-            gateway.reload(read_config_again())
-        except ConfigError as error:
-            log(f"reload: {error}; the configuration stays as it was")
-
     # Without a handler SIGHUP ends the process, and all requests that it holds are lost.
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGHUP, gateway.hup, read_config_again)
     await gateway.start()
     # What is there by now stays: looked through by each whole collection, it holds up all requests for 50 ms.
     gc.collect()
--- a/shaletiller/config.py
+++ b/shaletiller/config.py
@@ -69,6 +69,7 @@
     peers: tuple[str, ...] | None = None
     peers_all: str | None = None
     known: ServerList | None = None
+    admin: str | None = None
 
 
 class NvmeNamespace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -133,6 +134,8 @@
     settings: Settings
     nvme: NvmeConfig
     telemetry: Telemetry
+    admin: tuple[str, int] | None = None  # the door for operators
+    state_dir: str = "/tmp"  # what processes of the gateway that follow each other share: $TMPDIR
 
     @property
     def front_sockets(self) -> int:
@@ -249,6 +252,7 @@
         raise ConfigError(f"settings.{error}") from error
     nvme = read_nvme(nvme_file)
     _check_nvme(nvme, settings, told.limits)
+    admin = env.get("EDGE_ADMIN") or told.admin
     return Config(
         name=env.get("EDGE_NAME") or told.name,
         listen=read_address(env.get("EDGE_LISTEN") or told.listen, "EDGE_LISTEN"),
@@ -259,6 +263,7 @@
         peers=tuple(read_address(each, f"peers[{at}]") for at, each in enumerate(told.peers or ())),
         peers_all=read_address(told.peers_all, "peers_all") if told.peers_all else None,
         known=told.known or ServerList(), settings=settings, nvme=nvme, telemetry=_telemetry(env),
+        admin=read_address(admin, "EDGE_ADMIN") if admin else None, state_dir=env.get("TMPDIR") or "/tmp",
     )
 
 
--- a/shaletiller/core/book.py
+++ b/shaletiller/core/book.py
@@ -9,6 +9,8 @@
 from shaletiller.core.model import Answer, Attempt, Exchange, Reply, Verdict
 from shaletiller.core.relay import Relay
 
+UNSENT = (i.Outcome.CONNECT_FAILED, i.Outcome.MOOT)  # the attempts that no node was handed whole
+
 
 class Book:
     def __init__(
@@ -26,6 +28,8 @@
         attempt.ended_ms = self._clock.now_ms()
         name = f"attempt.{reply.outcome.value}"
         self._counts[name] = self._counts.get(name, 0) + 1
+        if reply.outcome not in UNSENT:
+            self._counts["forwards"] = self._counts.get("forwards", 0) + 1
         if reply.outcome is i.Outcome.OK:
             self._relay(exchange, Answer(Verdict.SERVED, reply.body))
         lag_ms = attempt.ended_ms - attempt.sent_ms if reply.lag_ms is None else reply.lag_ms
--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from shaletiller import interface as i
@@ -37,6 +38,8 @@
         self._events: deque[i.Event] = deque()
         self._deciding = False
         self._background: set[asyncio.Task[None]] = set()
+        self.listed: dict[str, Place] = {}  # the nodes as the list has them, out by hand or not
+        self.banned: frozenset[str] = frozenset()  # out by hand: named to the rest as gone
         self.relay = Relay(self.table, self.counts)
         self.admit = Admit(self.decide)
         self.route = Route(settings.max_attempts, settings.second_copies)
@@ -72,11 +75,32 @@
         self.decide(i.ClientLeft(exchange.call.id))
 
     def nodes(self, kind: i.ListKind, version: int, places: tuple[Place, ...]) -> None:
-        """News of the node list."""
+        """News of the node list; a node out by hand stays gone to the route and the module."""
         if kind is not i.ListKind.FAILED:
-            self.route.learn(places, whole=kind is not i.ListKind.CHANGES)
+            whole = kind is not i.ListKind.CHANGES
+            if whole:
+                self.listed = {}
+            for place in places:
+                if place.entry.state is i.NodeState.GONE:
+                    self.listed.pop(place.entry.node, None)
+                else:
+                    self.listed[place.entry.node] = place
+            places = tuple(map(self._masked, places))
+            self.route.learn(places, whole=whole)
         self.decide(i.NodeList(kind, tuple(place.entry for place in places), version))
 
+    def _masked(self, place: Place) -> Place:
+        if place.entry.node not in self.banned or place.entry.state is i.NodeState.GONE:
+            return place
+        return Place(replace(place.entry, state=i.NodeState.GONE), place.address, place.back)
+
+    def ban(self, banned: frozenset[str], moved: set[str]) -> None:
+        """Operators took nodes out or let them in again: what the list has of them is told anew."""
+        self.banned = banned
+        places = tuple(self.listed[node] for node in sorted(moved) if node in self.listed)
+        if places:
+            self.nodes(i.ListKind.CHANGES, 0, places)
+
     def decide(self, event: i.Event) -> None:
         """Tell the module; events that its actions cause follow in turn, never in the midst of another."""
         self._events.append(event)
--- /dev/null
+++ b/shaletiller/core/figures.py
@@ -0,0 +1,22 @@
+"""Figures: what the gateway has done since its start, as operators read them."""
+
+from __future__ import annotations
+
+from shaletiller.core.model import Verdict
+
+RESULT = {Verdict.SERVED: "succeeded", Verdict.REFUSED: "declined", Verdict.FAILED: "aborted"}
+
+
+def tally(counts: dict[str, int], service: str, verdict: Verdict) -> None:
+    """One final answer of a class."""
+    name = f"results.{service}.{RESULT[verdict]}"
+    counts[name] = counts.get(name, 0) + 1
+
+
+def lines(counts: dict[str, int], classes: list[str], gauges: dict[str, int]) -> list[str]:
+    """`edge.NAME=VALUE`, each class's results first, those of a class that is no longer set too."""
+    told = [name.split(".")[1] for name in counts if name.startswith("results.")]
+    found = [
+        f"edge.results.{service}.{word}={counts.get(f'results.{service}.{word}', 0)}"
+        for service in dict.fromkeys([*classes, *told]) for word in RESULT.values()]
+    return found + [f"edge.{name}={value}" for name, value in gauges.items()]
--- a/shaletiller/core/relay.py
+++ b/shaletiller/core/relay.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from shaletiller.core.figures import tally
 from shaletiller.core.model import Answer, Exchange, Verdict
 from shaletiller.log import log
 
@@ -20,6 +21,7 @@
         exchange.final = answer.verdict
         self.forget(exchange)
         self._counts[answer.verdict.value] = self._counts.get(answer.verdict.value, 0) + 1
+        tally(self._counts, exchange.call.service, answer.verdict)
         try:
             exchange.answer(answer)
         except Exception as error:  # a broken front must not take the other requests with it
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from shaletiller import interface as i
 from shaletiller.clock import Clock
-from shaletiller.config import Config, read_address
+from shaletiller.config import Config, ConfigError, read_address
+from shaletiller.core import figures
+from shaletiller.core.bans import Bans
 from shaletiller.core.engine import Engine
 from shaletiller.core.model import Back
 from shaletiller.log import log
+from shaletiller.net.admin import Admin, Refused
 from shaletiller.net.discovery import Discovery
 from shaletiller.net.http_back import HttpBack
 from shaletiller.net.http_front import HttpFront
@@ -28,9 +33,10 @@
 KEEP_ACCEPTING_MS, MOST_GRACE_MS = 700.0, 3000.0
 SPARE_MS = 250.0  # before that
 WATCH_S = 0.02
+BANS_S = 0.2  # how often the bans that the other process of the gateway may have written are looked at
 # What a reload leaves as it was.
 FIXED_KEYS = ("name", "listen", "limits", "peer_listen", "peers", "peers_all",
-              "settings", "nvme", "telemetry")
+              "settings", "nvme", "telemetry", "admin", "state_dir")
 
 
 class Gateway:
@@ -52,6 +58,61 @@
         self.nvme = NvmeFront(config.nvme.front, self.engine) if config.nvme.front.listen else None
         self._watch: asyncio.Task[None] | None = None
         self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
+        self._stopping = False
+        self.sighup = {"applied": 0, "rejected": 0}
+        bans = Path(config.state_dir) / f"shaletiller-{config.name or 'gateway'}-bans.json"
+        self.bans = Bans(bans, lambda moved: self.engine.ban(self.bans.held, moved))
+        self.admin = Admin({
+            "READY": self._ready, "STATS": self._stats, "DISABLE": self._disable, "ENABLE": self._enable,
+            "DRAIN": lambda words: self._drain(True), "UNDRAIN": lambda words: self._drain(False),
+        }) if config.admin else None
+
+    # ---- the operators' calls
+
+    def _ready(self, words: list[str]) -> list[str]:
+        if self._stopping or not self.discovery.held:
+            raise Refused("no: not ready")
+        return ["yes"]
+
+    def _stats(self, words: list[str]) -> list[str]:
+        engine = self.engine
+        gauges = {
+            "forwards": engine.counts.get("forwards", 0) + len(engine.send.out),  # out: mostly written
+            "outstanding": len(engine.table), "discovered": len(engine.listed),
+            "ejected": len(engine.banned & engine.listed.keys()),
+            "sighup_applied": self.sighup["applied"], "sighup_rejected": self.sighup["rejected"],
+        }
+        classes = [spec.name for spec in engine.settings.classes]
+        return ["", *figures.lines(engine.counts, classes, gauges), "end"]
+
+    @staticmethod
+    def _node(words: list[str]) -> str:
+        if len(words) != 1:
+            raise Refused("wants the id of one storage node")
+        return words[0]
+
+    def _disable(self, words: list[str]) -> list[str]:
+        node = self._node(words)
+        if node not in self.engine.listed and node not in self.bans.held:
+            raise Refused(f"no: no storage node {node[:64]} on the list")
+        self.bans.add(node)
+        return [node]
+
+    def _enable(self, words: list[str]) -> list[str]:
+        node = self._node(words)
+        if node not in self.engine.listed and node not in self.bans.held:
+            raise Refused(f"no: no storage node {node[:64]} on the list")
+        self.bans.remove(node)
+        return [node]
+
+    def _drain(self, drained: bool) -> list[str]:
+        self.front.drain(drained)
+        return []
+
+    async def _look_at_bans(self) -> None:
+        while True:
+            await asyncio.sleep(BANS_S)
+            self.bans.look()
 
     def _back_of(self, node: str) -> Back:
         return self._boxes.get(node, self._http)
@@ -71,7 +132,11 @@
             from shaletiller.telemetry.otlp import Otlp
 
             self.telemetry = Otlp(self.config.telemetry, self.config.name, self.engine, self._clock)
+        self.bans.look()  # before the first list: what the process before this one took out stays out
         self.discovery.start_from_known()
+        if self.admin is not None and self.config.admin is not None:
+            await self.admin.start(*self.config.admin)
+            log(f"operators' door at {self.admin.address[0]}:{self.admin.address[1]}")
         if self.config.settings.may_tell and self.config.peer_listen is not None:
             await self.peers.start(self.config.peer_listen)
         self.front.start(*self.config.listen)
@@ -79,8 +144,20 @@
             await self.nvme.start(*read_address(self.config.nvme.front.listen, "front.listen"))
             log(f"NVMe/TCP at {self.nvme.address[0]}:{self.nvme.address[1]}")
         self._watch = self.engine.spawn(self.discovery.run())
+        self.engine.spawn(self._look_at_bans())
         log(f"gateway {self.config.name} listens at {self.front.address[0]}:{self.front.address[1]}")
 
+    def hup(self, read: Callable[[], Config]) -> None:
+        """SIGHUP: the file is read again; a faulty one leaves the configuration as it was."""
+        try:
+            config = read()
+        except ConfigError as error:
+            self.sighup["rejected"] += 1
+            log(f"reload: {error}; the configuration stays as it was")
+            return
+        self.sighup["applied"] += 1
+        self.reload(config)
+
     def reload(self, config: Config) -> None:
         """A new configuration, under load: the list comes from its `discovery` from now on.
 
@@ -103,6 +180,7 @@
         taken gets its answer before the process can be killed.
 
         To close what clients hold any sooner would turn them away while no other process takes over."""
+        self._stopping = True
         ends_ms = self._clock.now_ms() + min(MOST_GRACE_MS, self._longest_ms) + KEEP_ACCEPTING_MS - SPARE_MS
         self.front.ends_ms = ends_ms
         await asyncio.sleep(KEEP_ACCEPTING_S)
@@ -117,3 +195,5 @@
         self.peers.close()
         if self.telemetry is not None:
             await self.telemetry.stop()
+        if self.admin is not None:
+            await self.admin.stop()
--- /dev/null
+++ b/shaletiller/net/admin.py
@@ -0,0 +1,74 @@
+"""The door for operators: one line a connection, one answer, then the end of the connection.
+
+    READY | STATS | DISABLE ID | ENABLE ID | DRAIN | UNDRAIN
+
+The answer is a line that begins with `done` or `error`; STATS adds its figures, then a line `end`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from shaletiller.log import log
+
+MOST_LINE = 256
+SILENT_S = 4.0  # a caller that sends no whole line by then is closed on; each caller waits alone
+WRITE_S = 1.0  # and one that does not read its answer
+
+
+class Refused(Exception):
+    """A call that is turned down; its message follows `error`."""
+
+
+# A call's words after its name give what follows `done` on its line, then further lines.
+Call = Callable[[list[str]], list[str]]
+
+
+class Admin:
+    def __init__(self, calls: dict[str, Call]) -> None:
+        self._calls = calls
+        self._server: asyncio.Server | None = None
+        self.address: tuple[str, int] = ("", 0)
+
+    async def start(self, host: str, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, host, port, limit=MOST_LINE)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    def answer(self, line: str) -> list[str]:
+        """The lines that answer one call."""
+        name, *words = line.split()
+        call = self._calls.get(name.upper())
+        if call is None:
+            return [f"error unknown call {name[:32]}"]
+        try:
+            first, *rest = call(words) or [""]
+        except Refused as error:
+            return [f"error {error}"]
+        return [f"done {first}".rstrip(), *rest]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(SILENT_S):
+                line = (await reader.readuntil(b"\n")).decode("utf-8", "replace")
+        except asyncio.IncompleteReadError as error:  # the caller ended its side after the line
+            line = error.partial.decode("utf-8", "replace")
+        except asyncio.LimitOverrunError:
+            line = ""
+            writer.write(b"error line too long\n")
+        except (TimeoutError, ConnectionError):
+            line = ""
+        if line.strip():
+            answer = self.answer(line)
+            if answer[0].startswith("error"):
+                log(f"admin: {line.strip()[:64]!r}: {answer[0]}")
+            writer.write("".join(f"{each}\n" for each in answer).encode())
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(WRITE_S):
+                await writer.drain()
+        writer.close()
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
--- a/shaletiller/net/door.py
+++ b/shaletiller/net/door.py
@@ -236,6 +236,7 @@
         self._paused = False
         self._timer: Timer | None = None
         self.address: tuple[str, int] = ("", 0)
+        self.drained = False  # clients are sent away: idle connections go at once
 
     def listen(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -377,7 +378,9 @@
             waited_ms = now_ms - each.since_ms
             late = waited_ms >= WHOLE_MS and (
                 each.state is State.PART or (each.state is State.SILENT and not readable(each.transport)))
-            idle = each.state is State.IDLE and waited_ms >= LONGEST_IDLE_MS and not readable(each.transport)
+            # Drained, a client that keeps its connection idle would be held here for as long as it likes.
+            longest_ms = 0.0 if self.drained else LONGEST_IDLE_MS
+            idle = each.state is State.IDLE and waited_ms >= longest_ms and not readable(each.transport)
             if late or idle:
                 self._close(each)
         if self._paused and self._listener is not None:
--- a/shaletiller/net/http_front.py
+++ b/shaletiller/net/http_front.py
@@ -104,6 +104,15 @@
         self._door.listen(host, port)
         self.address = self._door.address
 
+    @property
+    def drained(self) -> bool:
+        return self._door.drained
+
+    def drain(self, drained: bool) -> None:
+        """Drained, clients are sent away: `GET /up` says no, answers tell their clients to leave, and idle
+        connections close.  New connections are still taken: the front stops sending only after a while."""
+        self._door.drained = drained
+
     def shut(self) -> None:
         """No further connections; those that are there may still ask."""
         self._door.shut()
@@ -132,7 +141,8 @@
         path, connection = request.raw_path, request.protocol
         assert isinstance(connection, Connection)
         if path == "/up":
-            return self._leaving(web.Response(status=200 if self._ready() else 503))
+            up = self._ready() and not self._door.drained
+            return self._leaving(web.Response(status=200 if up else 503))
         if path != "/api" and not path.startswith("/api?"):
             return self._bad(404, "no such path")
         if request.headers.get("Transfer-Encoding", "chunked").lower() != "chunked":
@@ -182,7 +192,7 @@
             return False
 
         def answered(answer: Answer) -> None:
-            leaves = (self._closing or self._door.crowded) and not connection.behind
+            leaves = (self._closing or self._door.crowded or self._door.drained) and not connection.behind
             connection.reply(self._raw(answer, leaves), leaves)
 
         try:
@@ -220,6 +230,6 @@
     def _leaving(self, response: web.Response) -> web.Response:
         """In a crowd a client is told to leave with its answer: else those who ask once and stay hold all
         places until they may be closed unasked, and no one else is taken in."""
-        if self._closing or self._door.crowded:
+        if self._closing or self._door.crowded or self._door.drained:
             response.force_close()
         return response
--- a/shaletiller/telemetry/otlp.py
+++ b/shaletiller/telemetry/otlp.py
@@ -37,7 +37,8 @@
     """The counts of one family; copied first, for the export runs on another thread."""
     for name, count in dict(counts).items():
         attempt = name.startswith("attempt.")
-        if attempt == (prefix == "attempt."):
+        answer = "." not in name and name != "forwards"  # the operators' figures are of their own
+        if (attempt, answer) == (prefix == "attempt.", prefix == ""):
             yield Observation(count, {label: name.removeprefix(prefix)})
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,7 +13,9 @@
     reload d2                           the configuration names another discovery from now on
     wait 200                            milliseconds
 
-Names that start with c are HTTP clients, n nodes (shard by number), v NVMe hosts, b NVMe boxes.
+    send a1 DISABLE n1 | expect a1 done n1    an operator's call, on a connection of its own, and its answer
+
+Names that start with c are HTTP clients, n nodes (shard by number), v NVMe hosts, b NVMe boxes, a operators.
 """
 
 from __future__ import annotations
@@ -344,8 +346,22 @@
         await self.front.stop(0.1)
 
 
+class Operator(Party):
+    """A caller at the door for operators: each call has a connection of its own."""
+
+    async def send(self, *words: str) -> None:
+        assert self.scene.gateway.admin is not None
+        reader, writer = await asyncio.open_connection(*self.scene.gateway.admin.address)
+        writer.write(" ".join(words).encode() + b"\n")
+        self.lines = (await asyncio.wait_for(reader.read(), PATIENCE_S)).decode().splitlines()
+        writer.close()
+
+    async def expect(self, *words: str) -> None:
+        self.scene.assertEqual(self.lines[0], " ".join(words))
+
+
 KINDS: dict[str, type[Party]] = {
-    "c": Client, "n": Node, "v": Host, "b": Box, "d": Discovery, "o": Server,
+    "a": Operator, "c": Client, "n": Node, "v": Host, "b": Box, "d": Discovery, "o": Server,
 }
 
 
@@ -379,9 +395,10 @@
         self.told = {
             "name": "g0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.parties['d'].port}",
             "seed": "8c1f", "settings": self.settings, "limits": {"sockets": self.sockets},
+            "admin": "127.0.0.1:0",
             "known": {"version": 1, "full": True, "servers": rows}}
         self.config.write_text(json.dumps(self.told))
-        self.env = {"EDGE_CONFIG": str(self.config), **await self.environment()}
+        self.env = {"EDGE_CONFIG": str(self.config), "TMPDIR": folder.name, **await self.environment()}
         self.gateway = Gateway(read_config(self.env, nvme))
         await self.gateway.start()
 
@@ -416,6 +433,8 @@
             await self.gateway.nvme.stop(0.1)
         if self.gateway.telemetry is not None:
             await self.gateway.telemetry.stop()
+        if self.gateway.admin is not None:
+            await self.gateway.admin.stop()
 
     def count(self) -> int:
         self.numbers += 1
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
+import time
 
 from shaletiller.clock import Clock
-from shaletiller.net.door import Door
+from shaletiller.config import read_config, read_config_again
+from shaletiller.gateway import Gateway
+from shaletiller.net import door
 from tests.scenario import Scenario
 
 
@@ -14,10 +18,10 @@
     async def test_a_second_process_listens_on_the_same_address(self) -> None:
         # Without SO_REUSEPORT the new process of an upgrade ends at its start with EADDRINUSE.
         port = self.gateway.front.address[1]
-        door = Door(lambda request: None, 8, Clock(), False, lambda *_: False)  # type: ignore[arg-type,return-value]
-        door.listen("127.0.0.1", port)
-        self.assertEqual(door.address[1], port)
-        door.shut()
+        other = door.Door(lambda request: None, 8, Clock(), False, lambda *_: False)  # type: ignore[arg-type,return-value]
+        other.listen("127.0.0.1", port)
+        self.assertEqual(other.address[1], port)
+        other.shut()
         await self.play("""
             send c1 GET 5
             expect n1 GET 5
@@ -40,3 +44,158 @@
         writer.close()
         with socket.socket() as late:
             self.assertNotEqual(late.connect_ex(front.address), 0)
+
+
+class Door(Scenario):
+    async def test_each_call_gets_one_line_that_says_done_or_error(self) -> None:
+        await self.play("""
+            send a1 READY
+            expect a1 done yes
+            send a1 ready
+            expect a1 done yes
+            send a1 HALT
+            expect a1 error unknown call HALT
+            send a1 DISABLE
+            expect a1 error wants the id of one storage node
+            send a1 DISABLE n9
+            expect a1 error no: no storage node n9 on the list
+            send a1 ENABLE n9
+            expect a1 error no: no storage node n9 on the list
+        """)
+
+    async def test_an_overlong_line_is_an_error_and_the_gateway_goes_on(self) -> None:
+        await self.play(f"""
+            send a1 DISABLE {"n" * 300}
+            expect a1 error line too long
+            send a1 READY
+            expect a1 done yes
+        """)
+
+    async def test_a_silent_caller_holds_up_no_other(self) -> None:
+        # One task a connection: a caller that never sends its line would otherwise keep the others waiting.
+        assert self.gateway.admin is not None
+        silent = [await asyncio.open_connection(*self.gateway.admin.address) for _ in range(3)]
+        started = time.monotonic()
+        await self.play("send a1 READY\nexpect a1 done yes")
+        self.assertLess(time.monotonic() - started, 1.0)
+        for _, writer in silent:
+            writer.close()
+
+
+class Figures(Scenario):
+    async def test_stats_counts_answers_by_class_attempts_and_what_is_held(self) -> None:
+        await self.play("""
+            send c1 GET 5
+            expect n1 GET 5
+            send a1 STATS
+        """)
+        operator = await self.party("a1")
+        figures = dict(line.split("=") for line in operator.lines[1:-1])
+        self.assertEqual((operator.lines[0], operator.lines[-1]), ("done", "end"))
+        self.assertEqual(figures["edge.outstanding"], "1")
+        self.assertEqual(figures["edge.forwards"], "1")  # out, and written
+        await self.play("""
+            send n1 200 here
+            expect c1 200 here
+            send c1 PUT 6 x
+            expect n1 PUT 6 x
+            send n1 500
+            expect c1 502
+            send a1 STATS
+        """)
+        figures = dict(line.split("=") for line in operator.lines[1:-1])
+        self.assertEqual(figures, {
+            "edge.results.read.succeeded": "1", "edge.results.read.declined": "0",
+            "edge.results.read.aborted": "0", "edge.results.write.succeeded": "0",
+            "edge.results.write.declined": "0", "edge.results.write.aborted": "1",
+            "edge.forwards": "2", "edge.outstanding": "0", "edge.discovered": "2", "edge.ejected": "0",
+            "edge.sighup_applied": "0", "edge.sighup_rejected": "0"})
+
+    async def test_a_faulty_file_at_sighup_is_counted_as_turned_down(self) -> None:
+        self.config.write_text("")
+        self.gateway.hup(lambda: read_config_again(self.env, self.nvme))
+        self.config.write_text(json.dumps(self.told))
+        self.gateway.hup(lambda: read_config_again(self.env, self.nvme))
+        self.assertEqual(self.gateway.sighup, {"applied": 1, "rejected": 1})
+
+
+class ByHand(Scenario):
+    async def test_a_node_out_by_hand_gets_nothing_new_until_it_is_let_in(self) -> None:
+        await self.play("""
+            send a1 DISABLE n1
+            expect a1 done n1
+            send a1 DISABLE n1
+            expect a1 done n1
+            send c1 GET 5 timeout=100
+            wait 150
+            expect n1 nothing
+            send d n1=active   # the list names it anew: the ban holds
+            send c2 GET 6 timeout=100
+            wait 150
+            expect n1 nothing
+            send a1 STATS
+        """)
+        self.assertIn("edge.ejected=1", (await self.party("a1")).lines)
+        await self.play("""
+            send a1 ENABLE n1   # two calls out are met by one back
+            expect a1 done n1
+            send c3 GET 7
+            expect n1 GET 7
+            send n1 200
+            expect c3 200
+        """)
+
+    async def test_a_ban_holds_in_the_process_that_follows(self) -> None:
+        # The next process of an upgrade reads the bans at its start, before the list that it remembers.
+        await self.play("send a1 DISABLE n1\nexpect a1 done n1")
+        follower = Gateway(read_config(self.env, self.nvme))
+        follower.discovery.start_from_known = lambda: None  # type: ignore[method-assign]
+        follower.bans.look()
+        self.assertEqual(follower.engine.banned, {"n1"})
+
+    async def test_a_ban_that_the_other_process_lifts_is_lifted_here(self) -> None:
+        await self.play("send a1 DISABLE n1\nexpect a1 done n1")
+        other = Gateway(read_config(self.env, self.nvme))
+        other.bans.look()
+        other.bans.remove("n1")
+        await self.play("""
+            wait 300
+            send c1 GET 5
+            expect n1 GET 5
+        """)
+
+
+class Drain(Scenario):
+    async def test_drained_clients_are_sent_away_and_undrained_taken_again(self) -> None:
+        await self.play("""
+            send c1 GET up
+            expect c1 200
+            send c2 GET 5
+            expect n1 GET 5
+            send a1 DRAIN
+            expect a1 done
+            send c1 GET up
+            expect c1 503
+            expect c1 end      # told to leave with its answer
+            send n1 200 held
+            expect c2 200 held Connection=close   # what was under way is answered
+            expect c2 end
+            send c3 GET up
+            expect c3 503
+            send a1 UNDRAIN
+            expect a1 done
+            send c4 GET up
+            expect c4 200
+        """)
+
+    async def test_a_connection_left_idle_is_closed_once_drained(self) -> None:
+        # A client that keeps its connection and asks nothing would hold this gateway for as long as it likes.
+        await self.play("""
+            send c1 GET 5
+            expect n1 GET 5
+            send n1 200
+            expect c1 200
+            send a1 DRAIN
+            wait 150
+            expect c1 end
+        """)
