Bind the peers' UDP address and the NVMe front with SO_REUSEPORT as well

The NVMe front binds in the same way and is changed alike. A test binds two Peers on one UDP port; it fails without the flag.

--- a/shaletiller/net/nvme/front.py
+++ b/shaletiller/net/nvme/front.py
@@ -121,7 +121,8 @@
         self._prefix = secrets.token_hex(4)
 
     async def start(self, host: str, port: int) -> None:
-        self._server = await asyncio.start_server(self._accepted, host, port)
+        # reuse_port: the process that replaces this one listens beside it on the same address.
+        self._server = await asyncio.start_server(self._accepted, host, port, reuse_port=True)
         self.address = self._server.sockets[0].getsockname()[:2]
 
     async def stop(self, grace_s: float) -> None:
--- a/shaletiller/net/peers.py
+++ b/shaletiller/net/peers.py
@@ -23,7 +23,9 @@
 
     async def start(self, address: tuple[str, int]) -> None:
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        # The process that replaces this one binds the same address while this one still runs.
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=address, reuse_port=True)
 
     def tell(self, peer: int | None, data: str) -> None:
         raw = data.encode()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,6 +11,7 @@
 from shaletiller.config import read_config, read_config_again
 from shaletiller.gateway import Gateway
 from shaletiller.net import door
+from shaletiller.net.peers import Peers
 from tests.scenario import Scenario
 
 
@@ -199,3 +200,14 @@
             wait 150
             expect c1 end
         """)
+
+    async def test_a_second_process_hears_peers_on_the_same_address(self) -> None:
+        # Both processes of an upgrade bind the peers' UDP address; without SO_REUSEPORT the new one ends.
+        first, second = Peers((), None, lambda *_: None), Peers((), None, lambda *_: None)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        await first.start(("127.0.0.1", port))
+        await second.start(("127.0.0.1", port))
+        first.close()
+        second.close()
