Take new settings at SIGHUP, and count what is turned down by the class it named

- logic.py: Scheduler.retune keeps each class's place and appends new ones, so what is held keeps its class; the lanes' queues grow.
- engine.retune: new take-in checks, attempt limits in the route.
- Front: 400s and refusals made without the module are tallied by the Request-Class they name (64 names at most).

--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -10,6 +10,7 @@
 
 from shaletiller import interface as i
 from shaletiller.clock import Clock
+from shaletiller.core import figures
 from shaletiller.core.admit import Admit
 from shaletiller.core.book import Book
 from shaletiller.core.model import Answer, Attempt, Call, Exchange, Reply, Verdict
@@ -20,6 +21,7 @@
 from shaletiller.log import log
 from shaletiller.logic import Scheduler
 
+MOST_NAMES = 64  # classes in the figures
 GUARD_MS = 15.0  # past the deadline and within the rule's slack: the module's own answer comes first
 
 
@@ -40,6 +42,7 @@
         self._background: set[asyncio.Task[None]] = set()
         self.listed: dict[str, Place] = {}  # the nodes as the list has them, out by hand or not
         self.banned: frozenset[str] = frozenset()  # out by hand: named to the rest as gone
+        self._named = {spec.name for spec in settings.classes}
         self.relay = Relay(self.table, self.counts)
         self.admit = Admit(self.decide)
         self.route = Route(settings.max_attempts, settings.second_copies)
@@ -101,6 +104,23 @@
         if places:
             self.nodes(i.ListKind.CHANGES, 0, places)
 
+    def tally(self, service: str, verdict: Verdict) -> None:
+        """A final answer given without the module, to a request that named its class."""
+        # Names that clients make up must not grow the figures without end.
+        if service and (service in self._named or len(self._named) < MOST_NAMES):
+            self._named.add(service)
+            figures.tally(self.counts, service, verdict)
+
+    def retune(self, settings: i.Settings) -> None:
+        """New settings at SIGHUP: new calls are checked by them; what is held keeps its class."""
+        named = {spec.name for spec in settings.classes}
+        self._safe = {name for name in self._safe if name not in named} | {
+            spec.name for spec in settings.classes if spec.effect is i.Effect.SAFE}
+        self.settings = settings
+        self._scheduler.retune(settings)
+        self.take_in = TakeIn(settings, self._clock, self.table, self.send.out)
+        self.route.retune(settings.max_attempts, settings.second_copies)
+
     def decide(self, event: i.Event) -> None:
         """Tell the module; events that its actions cause follow in turn, never in the midst of another."""
         self._events.append(event)
--- a/shaletiller/core/route.py
+++ b/shaletiller/core/route.py
@@ -26,6 +26,10 @@
         self._second_copies = second_copies
         self._places: dict[str, Place] = {}
 
+    def retune(self, max_attempts: int, second_copies: bool) -> None:
+        self._max_attempts = max_attempts
+        self._second_copies = second_copies
+
     def learn(self, places: Sequence[Place], whole: bool) -> None:
         """News of the list, or the whole of it: what a whole list does not name has left."""
         told = {place.entry.node: place for place in places}
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -36,7 +36,7 @@
 BANS_S = 0.2  # how often the bans that the other process of the gateway may have written are looked at
 # What a reload leaves as it was.
 FIXED_KEYS = ("name", "listen", "limits", "peer_listen", "peers", "peers_all",
-              "settings", "nvme", "telemetry", "admin", "state_dir")
+              "nvme", "telemetry", "admin", "state_dir")
 
 
 class Gateway:
@@ -167,7 +167,12 @@
         if fixed:
             log(f"reload: {', '.join(fixed)} need a restart, left as they were")
         moved = config.discovery != self.config.discovery
-        self.config = msgspec.structs.replace(self.config, discovery=config.discovery)
+        if config.settings != self.config.settings:
+            self.engine.retune(config.settings)
+            self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
+            log(f"reload: classes {', '.join(spec.name for spec in config.settings.classes)} from now on")
+        self.config = msgspec.structs.replace(
+            self.config, discovery=config.discovery, settings=config.settings)
         if moved and self._watch is not None and not self._watch.done():
             self.discovery.move(config.discovery)
             self._watch.cancel()
--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import lru_cache
 from typing import Any
 
@@ -218,21 +218,13 @@
     """One host's decisions; it knows only its settings and its own events."""
 
     def __init__(self, settings: i.Settings, seed: int = 0) -> None:
-        self._set = settings
         self._random = random.Random(seed)
-        self._classes = {spec.name: at for at, spec in enumerate(settings.classes)}
-        self._plans = {plan.name: plan for plan in settings.plans}
-        self._round_ms = min(spec.aim_ms for spec in settings.classes) * ROUND_PART
-        self._kinds = len(settings.classes) * BANDS
-        self._rounds = [max(1, int(spec.aim_ms // self._round_ms)) for spec in settings.classes]
-        self._zones = (1.0, settings.share_worth, settings.beyond_worth)
-        self._worth = [spec.worth * zone for spec in settings.classes for zone in self._zones]
-        self._best_pay = max(self._worth) * max(plan.price for plan in settings.plans)
-        self._usual = [0.0] * len(settings.classes)  # lag by class over all nodes, for the mean size
+        self._usual: list[float] = []  # lag by class over all nodes, for the mean size
+        self._lanes: dict[int, Lane] = {}
+        self._tune(settings)
         self._losing = 0.0  # the part of overdue answers that never come
         self._nodes: dict[str, i.NodeEntry] = {}
         self._drains: dict[str, float] = {}  # until when a draining node may still get work
-        self._lanes: dict[int, Lane] = {}
         self._held: dict[str, Held] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
         self._volumes: dict[str, Volume] = {}
@@ -249,6 +241,31 @@
             i.TimerDue: self._on_timer, i.ClientLeft: self._on_left, i.StreamStarted: self._on_stream,
         }
 
+    def retune(self, settings: i.Settings) -> None:
+        """New settings under load.  A class keeps its place and a new one comes after: what is held keeps its
+        class, and one that has gone stays known to it, while the gateway takes no new request of it."""
+        told = {spec.name: spec for spec in settings.classes}
+        kept = tuple(told.pop(spec.name, spec) for spec in self._set.classes)
+        self._tune(replace(settings, classes=kept + tuple(told.values())))
+
+    def _tune(self, settings: i.Settings) -> None:
+        self._set = settings
+        self._classes = {spec.name: at for at, spec in enumerate(settings.classes)}
+        self._plans = {plan.name: plan for plan in settings.plans}
+        self._round_ms = min(spec.aim_ms for spec in settings.classes) * ROUND_PART
+        self._kinds = len(settings.classes) * BANDS
+        self._rounds = [max(1, int(spec.aim_ms // self._round_ms)) for spec in settings.classes]
+        self._zones = (1.0, settings.share_worth, settings.beyond_worth)
+        self._worth = [spec.worth * zone for spec in settings.classes for zone in self._zones]
+        self._best_pay = max(self._worth) * max(plan.price for plan in settings.plans)
+        self._usual += [0.0] * (len(settings.classes) - len(self._usual))
+        for lane in self._lanes.values():
+            more = range(self._kinds - len(lane.queues))
+            lane.queues += [deque() for _ in more]
+            lane.slots += [START_REQUESTS for _ in more]
+            lane.asked += [Recent() for _ in more]
+            lane.out += [0 for _ in more]
+
     def handle(self, now_ms: float, event: i.Event) -> list[i.Action]:
         """Take one event and give the actions it calls for."""
         self._now = now_ms
--- a/shaletiller/net/door.py
+++ b/shaletiller/net/door.py
@@ -237,6 +237,7 @@
         self._timer: Timer | None = None
         self.address: tuple[str, int] = ("", 0)
         self.drained = False  # clients are sent away: idle connections go at once
+        self.refused: Callable[[bytes], None] = lambda head: None  # told of what is refused unread
 
     def listen(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -330,6 +331,7 @@
                 if asked:
                     taken.recv(READ)  # closed with bytes unread, it would be reset and the answer lost
                     taken.send(self._refused)
+                    self.refused(asked)
             except BlockingIOError:
                 if now_ms - came_ms < USELESS_MS[State.SILENT]:
                     silent.append((came_ms, taken))
--- a/shaletiller/net/http_front.py
+++ b/shaletiller/net/http_front.py
@@ -27,6 +27,7 @@
 KEYS = re.compile(r"[?&]key=", re.ASCII)
 NUMBER = re.compile(r"\d{1,9}(?:\.\d{1,9})?", re.ASCII)  # no sign, no exponent, no inf or nan
 WHOLE = re.compile(r"-?\d{1,9}", re.ASCII)
+CLASS = re.compile(rb"\r\nRequest-Class:[ \t]*([!-~]{1,64})", re.IGNORECASE)
 
 
 def _number(text: str, name: str) -> float:
@@ -92,6 +93,7 @@
         self._ready = ready
         self._clock = clock
         self._door = Door(self._handle, most_connections, clock, engine.settings.retry_advice, self._at_once)
+        self._door.refused = self._refused_unread
         self._closing = False
         self.ends_ms = math.inf  # by then this process has answered all that it took
         self.address: tuple[str, int] = ("", 0)
@@ -144,23 +146,23 @@
             up = self._ready() and not self._door.drained
             return self._leaving(web.Response(status=200 if up else 503))
         if path != "/api" and not path.startswith("/api?"):
-            return self._bad(404, "no such path")
+            return self._bad(404, "no such path", request)
         if request.headers.get("Transfer-Encoding", "chunked").lower() != "chunked":
-            return self._bad(400, "Transfer-Encoding: wants chunked")
+            return self._bad(400, "Transfer-Encoding: wants chunked", request)
         try:
             whole = request.content.is_eof()
             body = await self._body(request, connection)
         except TimeoutError:
-            return self._bad(408, "the body did not come")
+            return self._bad(408, "the body did not come", request)
         except web.RequestPayloadError:
-            return self._bad(400, "the body cannot be read")
+            return self._bad(400, "the body cannot be read", request)
         if body is None:
-            return self._bad(413, "the body is too large")
+            return self._bad(413, "the body is too large", request)
         # A request that was sent behind another has waited here since it came.
         waited_ms = self._clock.now_ms() - connection.arrivals[0] if whole and connection.arrivals else 0.0
         left_ms = self.ends_ms - self._clock.now_ms()
         if left_ms < LAST_MS:  # too late to begin anything: the next process may have time for it
-            return self._response(Answer(Verdict.REFUSED, retry_in_ms=LAST_MS))
+            return self._refused(request)
         done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
 
         def answered(answer: Answer) -> None:
@@ -170,16 +172,26 @@
         try:
             exchange = self._engine.call(read_call(request._message, body, waited_ms, left_ms), answered)
         except TooLate:
-            return self._response(Answer(Verdict.REFUSED, retry_in_ms=LAST_MS))
+            return self._refused(request)
         except BadCall as error:
-            return self._bad(400, str(error))
+            return self._bad(400, str(error), request)
         try:
             answer = await done
         finally:
             self._engine.client_left(exchange)  # nothing where it is already over
         return self._response(answer)
 
-    def _bad(self, status: int, why: str) -> web.Response:
+    def _refused_unread(self, head: bytes) -> None:
+        found = CLASS.search(head)
+        self._engine.tally(found[1].decode() if found else "", Verdict.REFUSED)
+
+    def _refused(self, request: web.BaseRequest) -> web.Response:
+        self._engine.tally(request.headers.get("Request-Class", ""), Verdict.REFUSED)
+        return self._response(Answer(Verdict.REFUSED, retry_in_ms=LAST_MS))
+
+    def _bad(self, status: int, why: str, request: web.BaseRequest) -> web.Response:
+        """An error that ends the connection; it counts as failed for the class that the request named."""
+        self._engine.tally(request.headers.get("Request-Class", ""), Verdict.FAILED)
         log(f"turned down with {status}: {why}")
         answer = web.Response(status=status, text=why + "\n")
         answer.force_close()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -211,3 +211,63 @@
         await second.start(("127.0.0.1", port))
         first.close()
         second.close()
+
+
+class NewSettings(Scenario):
+    def hup(self, **settings: object) -> None:
+        self.config.write_text(json.dumps({**self.told, "settings": {**self.settings, **settings}}))
+        self.gateway.hup(lambda: read_config_again(self.env, self.nvme))
+
+    async def test_a_class_comes_and_one_goes_while_what_is_held_keeps_its_class(self) -> None:
+        read, write = self.settings["classes"]
+        await self.play("""
+            send c1 GET 5 class=read2
+            expect c1 400
+        """)
+        self.hup(classes=[read, write, {**read, "name": "read2"}])
+        await self.play("""
+            send c2 GET 6 class=read2
+            expect n1 GET 6
+        """)
+        self.hup(classes=[read, write])
+        await self.play("""
+            send n1 200 kept
+            expect c2 200 kept   # taken as read2, served as read2
+            send c3 GET 7 class=read2
+            expect c3 400        # read2 has gone
+            send c4 GET 8
+            expect n1 GET 8
+        """)
+        self.assertEqual(self.gateway.sighup, {"applied": 2, "rejected": 0})
+
+    async def test_fewer_attempts_hold_for_what_comes_next(self) -> None:
+        self.hup(limits={**self.settings["limits"], "max-attempts": 1})
+        await self.play("""
+            send c1 GET 5
+            expect n1 GET 5
+            close n1
+            expect c1 503
+            wait 100
+            expect n1 nothing
+        """)
+
+    async def test_a_faulty_file_is_turned_down_whole(self) -> None:
+        read, write = self.settings["classes"]
+        faulty: list[object] = [
+            {**read, "hard-limit-ms": 0}, {**read, "hard-limit-ms": "900"}, {**read, "hard-limit-ms": None}]
+        for spec in faulty:
+            self.hup(classes=[spec, write])
+        self.hup(limits={**self.settings["limits"], "max-attempts": 0})
+        self.hup(limits={**self.settings["limits"], "max-attempts": "3"})
+        self.hup(classes=[{key: value for key, value in read.items() if key != "hard-limit-ms"}, write])
+        text = json.dumps(self.told)
+        for cut in ("", text[: len(text) // 2]):
+            self.config.write_text(cut)
+            self.gateway.hup(lambda: read_config_again(self.env, self.nvme))
+        self.assertEqual(self.gateway.sighup, {"applied": 0, "rejected": 8})
+        await self.play("""
+            send c1 GET 5
+            expect n1 GET 5
+            send n1 200
+            expect c1 200
+        """)
