--- a/shaletiller/core/route.py
+++ b/shaletiller/core/route.py
@@ -57,8 +57,6 @@
             return None
         if len(exchange.attempts) >= self._max_attempts:
             return None
-        if exchange.call.stream is not None and exchange.call.stream.touched:
-            return None  # what was passed on of the body is gone: no second attempt can have it whole
         if exchange.call.shard >= 0 and place.entry.shard != exchange.call.shard:
             return None
         out = any(each.outcome is None for each in exchange.attempts)
--- a/shaletiller/net/http_back.py
+++ b/shaletiller/net/http_back.py
@@ -16,7 +16,7 @@
 from yarl import URL
 
 from shaletiller import interface as i
-from shaletiller.core.model import Call, Reply, Stream
+from shaletiller.core.model import Call, Reply
 from shaletiller.log import log
 from shaletiller.net.body import MOST_BODY, read_bounded
 from shaletiller.net.pool import NodeConnector, NodeProtocol
@@ -59,13 +59,6 @@
     last: bool = False
 
 
-async def piped(stream: Stream, written: Written) -> AsyncIterator[bytes]:
-    """A client's body as it comes; written whole once its last piece has been handed over."""
-    async for part in stream.chunks():
-        yield part
-    written.last = True
-
-
 async def in_two(body: bytes, written: Written) -> AsyncIterator[bytes]:
     """A large body, its last byte on its own: what breaks before that byte has certainly not run."""
     yield body[:-1]
@@ -122,11 +115,6 @@
 
     async def attempt(self, address: str, call: Call, timeout_ms: float) -> Reply:
         headers = {"Request-Id": call.id, "Request-Timeout-Ms": str(max(1, round(timeout_ms)))}
-        if call.stream is not None:
-            # Told by the client, or passed on in chunks as it came.
-            if call.stream.size is not None:
-                headers["Content-Length"] = str(call.stream.size)
-            return await self._by_session(address, call, headers)
         if call.write or call.body:
             headers["Content-Length"] = str(len(call.body))
         connector = self._session().connector
@@ -168,9 +156,7 @@
     async def _by_session(self, address: str, call: Call, headers: dict[str, str]) -> Reply:
         """The long way, for a new connection or a large body."""
         written = Written()
-        body: Any = in_two(call.body, written) if len(call.body) > WHOLE_BODY else call.body or None
-        if call.stream is not None:
-            body = piped(call.stream, written)
+        body = in_two(call.body, written) if len(call.body) > WHOLE_BODY else call.body or None
         url = URL(f"http://{address}{call.target}", encoded=True)
         tracker = aiohttp.UploadTracker()
         try:
--- a/shaletiller/net/http_front.py
+++ b/shaletiller/net/http_front.py
@@ -15,9 +15,9 @@
 
 from shaletiller.clock import Clock
 from shaletiller.core.engine import Engine
-from shaletiller.core.model import Answer, BadCall, Call, Stream, Verdict
+from shaletiller.core.model import Answer, BadCall, Call, Verdict
 from shaletiller.log import log
-from shaletiller.net.body import MOST_BODY, Piped, read_up_to
+from shaletiller.net.body import MOST_BODY, read_bounded
 from shaletiller.net.door import WHOLE_MS, Connection, Door
 
 LAST_MS = 300.0  # a request that comes so shortly before the end is refused
@@ -56,7 +56,6 @@
 
 def read_call(
     head: RawRequestMessage, body: bytes, waited_ms: float = 0.0, most_ms: float = math.inf,
-    stream: Stream | None = None,
 ) -> Call:
     """The call in a request's head; BadCall names what is missing or malformed."""
     target = TARGET.fullmatch(head.path)
@@ -68,7 +67,7 @@
     call_id = _one(head, "Request-Id")
     if not ID.fullmatch(call_id):
         raise BadCall("Request-Id: malformed")
-    if head.method not in ("GET", "PUT") or (head.method == "GET" and (body or stream)):
+    if head.method not in ("GET", "PUT") or (head.method == "GET" and body):
         raise BadCall("method: wants GET without a body, or PUT")
     told_ms = _number(_one(head, "Request-Timeout-Ms"), "Request-Timeout-Ms")
     if 0 < told_ms <= waited_ms:
@@ -80,7 +79,7 @@
         hosts=_whole(info.get("hosts", ""), "IO-Info hosts"),
         timeout_ms=min(most_ms, told_ms - waited_ms),
         write=head.method == "PUT", method=head.method, target=head.path, body=body,
-        repeat=head.headers.get("Client-Retry") == "1", stream=stream,
+        repeat=head.headers.get("Client-Retry") == "1",
     )
 
 
@@ -125,20 +124,20 @@
         self._closing = True
         await self._door.stop(grace_s)
 
-    async def _body(self, request: web.BaseRequest, connection: Connection) -> bytes | Piped:
-        """The body, whole, or passed on as it comes where it is too large to be held; TimeoutError where its
-        first part does not come in time."""
+    async def _body(self, request: web.BaseRequest, connection: Connection) -> bytes | None:
+        """The body, None where it is too large; TimeoutError where it does not come in time."""
         if connection.body is not None:
             body, connection.body = connection.body, None
             return body
         if request.content.at_eof():
             return b""
         if (request.content_length or 0) > MOST_BODY:
-            return Piped(b"", request.content, request.content_length)
+            return None
+        if request.content.is_eof():  # all of it is here
+            return await read_bounded(request.content)
         left_ms = connection.since_ms + WHOLE_MS - self._clock.now_ms()
-        async with asyncio.timeout(None if request.content.is_eof() else max(0.0, left_ms) / 1000):
-            first, whole = await read_up_to(request.content)
-        return first if whole else Piped(first, request.content, None)
+        async with asyncio.timeout(max(0.0, left_ms) / 1000):
+            return await read_bounded(request.content)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path, connection = request.raw_path, request.protocol
@@ -157,7 +156,8 @@
             return self._bad(408, "the body did not come", request)
         except web.RequestPayloadError:
             return self._bad(400, "the body cannot be read", request)
-        stream = body if isinstance(body, Piped) else None
+        if body is None:
+            return self._bad(413, "the body is too large", request)
         # A request that was sent behind another has waited here since it came.
         waited_ms = self._clock.now_ms() - connection.arrivals[0] if whole and connection.arrivals else 0.0
         left_ms = self.ends_ms - self._clock.now_ms()
@@ -170,9 +170,7 @@
                 done.set_result(answer)
 
         try:
-            held = b"" if isinstance(body, Piped) else body
-            call = read_call(request._message, held, waited_ms, left_ms, stream)
-            exchange = self._engine.call(call, answered)
+            exchange = self._engine.call(read_call(request._message, body, waited_ms, left_ms), answered)
         except TooLate:
             return self._refused(request)
         except BadCall as error:
@@ -181,10 +179,7 @@
             answer = await done
         finally:
             self._engine.client_left(exchange)  # nothing where it is already over
-        response = self._response(answer)
-        if stream is not None:
-            response.force_close()  # what the node did not take of the body is still on its way
-        return response
+        return self._response(answer)
 
     def _refused_unread(self, head: bytes) -> None:
         found = CLASS.search(head)
