Let what a cold node served of a host earn that host more, and turn by what it bears now

A temporary count across the 40 gateways' logs (instrumentation taken out again): the cold guard allowed 195 sends and turned down 14,055; 4,406 refusals fell on cold lanes against 2,635 on warm ones.

Cause, logic.py _cold_allows: the safe figure (cold-bears 15 units in 3 s for all 40 gateways) is dealt out in turns of 12 groups fixed by the figure at the node's start, so in any span about three hosts may send at all, most of them without traffic for that shard; and nothing a host learns of the node (it serves in time) ever lifts its part. Checked and ruled out: discovery (changes arrive within 0.3 s), connection failures (under 50 in 5 s), the node's lag.

Changes: - the number of turns follows what the node bears now, so more hosts take part as it warms; - in _judge, what the cold node served of this host within the span pays back half the rule's multiple (fall-multiple / 2) of its units. All hosts together then send at most the safe part and twice what the node can do, under the rule's four times.

--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -583,6 +583,8 @@
         if event.outcome is i.Outcome.OK:
             lane.silent = 0
             lane.served += held.ask.units
+            if lane.cold_since_ms is not None:  # what a cold node serves proves its room: see _cold_allows
+                lane.cold_sends.append((self._now, -self._set.fall_multiple / 2 * held.ask.units))
             self._learn_lag(held, event.lag_ms / self._size(held))
             lane.verdict += 1 if event.lag_ms <= self._late_ms(held) else -1
         elif event.outcome in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED):
@@ -832,7 +834,9 @@
         """Rule 4: this host's part of what a cold node certainly bears, rising with the ramp.
 
         Where an even part is under one request, hosts take turns of the stated span by their number, half of
-        the budget a turn, for a span meets at most two.  What is turned away counts as well."""
+        the budget a turn, for a span meets at most two.  What is turned away counts as well.  What the node
+        served of this host's within the span pays back half the rule's multiple: all hosts together then send
+        it the safe part and half the multiple of what it can do, where alone each would learn it too late."""
         if lane.cold_since_ms is None:
             return True
         age_ms = max(0.0, self._now - lane.cold_since_ms)
@@ -845,8 +849,8 @@
         start, hosts, one = self._set.start_capacity, self._set.hosts, self._set.mean_units
         borne = self._set.cold_units * (start + (1 - start) * age_ms / self._set.ramp_ms) / start
         part = borne / hosts
-        if 0 < self._set.cold_units < one * hosts:
-            groups = math.ceil(2 * one * hosts / self._set.cold_units)
+        if 0 < borne < one * hosts:
+            groups = math.ceil(2 * one * hosts / borne)
             turn = int(age_ms // max(1.0, self._set.fall_ms)) + lane.shard - self._set.position
             part = borne / 2 / math.ceil(hosts / groups) if turn % groups == 0 else 0.0
         return sum(sent for _, sent in lane.cold_sends) + units <= part
