Back off discovery calls after a failure with full jitter, not 50 ms flat

Temporary probes (taken out again) showed the 503's headers and the outcomes of the restarted gateways.

Cause, net/discovery.py run(): after any failure the next call followed after AGAIN_MS, 50 ms, flat. Alone harmless; forty in step keep an overbooked discovery overbooked.

Change: the wait after the n-th failure in a row is uniform in [0, min(2 s, 50 ms * 2^n)], drawn from the gateway's seed; a success starts over. The re-watch after an answer is untouched (it follows at once, within the 200 ms that keep a watch).

--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import aiohttp
@@ -20,6 +21,10 @@
 WAIT_MS = 1_000
 SILENCE_MS = 400.0  # past a watch's own wait: the agent is silent while discovery is down
 AGAIN_MS = 50.0  # a watch goes on while the next call follows within 200 ms
+# After a failed call the next waits a random time up to a bound that doubles with each failure in a row
+# (exponential backoff with full jitter).  Forty gateways that each asked again 50 ms after a 503 kept an
+# overbooked discovery at 500 calls a second all day, and those that came back after a restart never got in.
+MOST_AGAIN_MS = 2_000.0
 MOST_LIST = 4 * 1024 * 1024
 TIMEOUT = aiohttp.ClientTimeout(total=(WAIT_MS + SILENCE_MS) / 1000, sock_connect=1.0)
 AT_ONCE = aiohttp.ClientTimeout(total=WAIT_MS / 1000)  # the whole list is answered without a wait
@@ -50,9 +55,10 @@
 class Discovery:
     def __init__(
         self, address: tuple[str, int], known: ServerList, back: Callable[[str], Back],
-        apply: Callable[[i.ListKind, int, tuple[Place, ...]], None],
+        apply: Callable[[i.ListKind, int, tuple[Place, ...]], None], seed: int = 0,
     ) -> None:
         self._back = back
+        self._random = random.Random(seed)  # gateways started together do not ask again together
         self._apply = apply
         self._known = known
         self.held = False
@@ -87,13 +93,20 @@
 
     async def run(self) -> None:
         """Watch for ever; a call that fails is made again soon."""
+        failed = 0
         async with aiohttp.ClientSession(timeout=TIMEOUT, trust_env=False) as session:
             while True:
                 try:
                     await self._call(session, self._version)
+                    failed = 0
                 except Exception as error:  # whatever an agent sends, the watch goes on
                     log(f"discovery: {type(error).__name__} {error}")
-                    await asyncio.sleep(AGAIN_MS / 1000)
+                    await asyncio.sleep(self.again_ms(failed) / 1000)
+                    failed += 1
+
+    def again_ms(self, failed: int) -> float:
+        """The wait before the next call after so many failures in a row."""
+        return self._random.uniform(0.0, min(MOST_AGAIN_MS, AGAIN_MS * 2 ** min(failed, 16)))
 
     async def _call(self, session: aiohttp.ClientSession, since: int | None = None) -> None:
         base, whole = self._base, since is None
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -580,6 +580,25 @@
         await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200")
 
 
+    async def test_an_overbooked_discovery_is_asked_again_later_and_later(self) -> None:
+        agent, calls = await self.party("d"), []
+
+        async def overbooked(party: Server, found: tuple[Any, ...]) -> None:
+            calls.append(time.monotonic())
+            found[3].write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            found[3].close()
+
+        await agent.next()
+        agent.script = overbooked
+        self.gateway.engine.spawn(self.gateway.discovery.run())
+        await asyncio.sleep(1.0)
+        self.assertLess(len(calls), 12)  # at 50 ms each, about 20 in a second
+        self.assertGreater(len(calls), 1)
+        waits = [self.gateway.discovery.again_ms(failed) for failed in range(12) for _ in range(50)]
+        self.assertLessEqual(max(waits), 2000.0)
+        self.assertGreater(max(waits), 1000.0)
+
+
 class Reload(Scenario):
     async def environment(self) -> dict[str, str]:
         return {"EDGE_DISCOVERY": f"127.0.0.1:{self.parties['d'].port}"}  # wins at the start, and only then
