--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -49,7 +49,8 @@
         self._http = HttpBack(config.settings, config.back_sockets // (2 if config.nvme.box else 1))
         a_box = config.back_sockets // 2 // max(1, len(config.nvme.box))
         self._boxes = {box.node: BoxBack(box, config.settings, a_box) for box in config.nvme.box}
-        self.discovery = Discovery(config.discovery, config.known, self._back_of, self.engine.nodes, config.seed)
+        self.discovery = Discovery(
+            config.discovery, config.known, self._back_of, self.engine.nodes, config.seed)
         self.front = HttpFront(
             self.engine, config.front_sockets, lambda: self.discovery.held, self._clock)
         self.peers = Peers(config.peers, config.peers_all, self._heard)
