Pass the Idempotency-Key of keyed writes on to storage nodes, and want one of them

Blocks of NVMe hosts, who bear no key, use their call's id.

Ruled out: a library's silent resend (never_again stands, Request-Id and body unchanged) and the target's quoting.

--- a/shaletiller/core/model.py
+++ b/shaletiller/core/model.py
@@ -30,6 +30,7 @@
     target: str
     body: bytes = b""
     repeat: bool = False
+    idempotency_key: str = ""  # of a keyed class: what the nodes tell its repeats by; passes on as it came
 
 
 class Verdict(Enum):
--- a/shaletiller/core/take_in.py
+++ b/shaletiller/core/take_in.py
@@ -43,6 +43,9 @@
             raise BadCall("units out of range")
         if self._told_writes and self._classes[call.service].writes != call.write:
             raise BadCall(f"class {call.service!r} is not for this method")
+        if self._classes[call.service].effect is i.Effect.KEYED and not call.idempotency_key:
+            # Nodes could not tell its repeats from new work, and would run each of them.
+            raise BadCall(f"class {call.service!r} wants an Idempotency-Key")
         if call.shard < -1 or call.hosts < 1 or 0 < self._shards <= call.shard:
             raise BadCall("shard or hosts out of range")
         if not 0 < call.timeout_ms <= LONGEST_MS:
--- a/shaletiller/net/http_back.py
+++ b/shaletiller/net/http_back.py
@@ -115,6 +115,8 @@
 
     async def attempt(self, address: str, call: Call, timeout_ms: float) -> Reply:
         headers = {"Request-Id": call.id, "Request-Timeout-Ms": str(max(1, round(timeout_ms)))}
+        if call.idempotency_key:
+            headers["Idempotency-Key"] = call.idempotency_key
         if call.write or call.body:
             headers["Content-Length"] = str(len(call.body))
         connector = self._session().connector
--- a/shaletiller/net/http_front.py
+++ b/shaletiller/net/http_front.py
@@ -23,6 +23,7 @@
 LAST_MS = 300.0  # a request that comes so shortly before the end is refused
 HEX16 = re.compile(r"[0-9a-f]{16}", re.IGNORECASE | re.ASCII)
 ID = re.compile(r"[!-~]{1,128}", re.ASCII)
+IDEMPOTENCY_KEY = re.compile(r"[!-~](?:[ -~]{0,254}[!-~])?", re.ASCII)  # a quoted string too, with blanks
 TARGET = re.compile(r"/api\?(?:[!-~]*&)?key=([0-9a-f]{16})(?:&[!-~]*)?", re.IGNORECASE | re.ASCII)
 KEYS = re.compile(r"[?&]key=", re.ASCII)
 NUMBER = re.compile(r"\d{1,9}(?:\.\d{1,9})?", re.ASCII)  # no sign, no exponent, no inf or nan
@@ -50,6 +51,16 @@
     return found[0]
 
 
+def _idempotency_key(head: RawRequestMessage) -> str:
+    """It passes on whether the class calls for it or not: the storage node is to see what its client sent."""
+    if "Idempotency-Key" not in head.headers:
+        return ""
+    found = _one(head, "Idempotency-Key")
+    if not IDEMPOTENCY_KEY.fullmatch(found):
+        raise BadCall("Idempotency-Key: malformed")
+    return found
+
+
 class TooLate(Exception):
     """A call whose time was over before its turn came: no node has seen it."""
 
@@ -79,7 +90,7 @@
         hosts=_whole(info.get("hosts", ""), "IO-Info hosts"),
         timeout_ms=min(most_ms, told_ms - waited_ms),
         write=head.method == "PUT", method=head.method, target=head.path, body=body,
-        repeat=head.headers.get("Client-Retry") == "1",
+        repeat=head.headers.get("Client-Retry") == "1", idempotency_key=_idempotency_key(head),
     )
 
 
--- a/shaletiller/net/nvme/front.py
+++ b/shaletiller/net/nvme/front.py
@@ -515,8 +515,10 @@
         write = command.opcode == Io.WRITE
         key = f"{space.first_key + command.lba + at:016x}"
         body = bytes(pending.data[at * space.block_bytes:(at + 1) * space.block_bytes]) if write else b""
+        # A block's id serves as the key of a keyed class: hosts bear none, and send a command but once.
+        call_id = self.front.next_id()
         return Call(
-            id=self.front.next_id(), service=space.write_class if write else space.read_class,
+            id=call_id, idempotency_key=call_id, service=space.write_class if write else space.read_class,
             plan=space.plan, volume=space.volume, key=key, units=space.units, shard=space.shard,
             hosts=space.hosts, timeout_ms=space.write_timeout_ms if write else space.read_timeout_ms,
             write=write, method="PUT" if write else "GET", target=f"/api?key={key}", body=body,
--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -634,3 +634,46 @@
     async def test_not_ready_until_a_node_is_known(self) -> None:
         await self.play("send c1 GET up\nexpect c1 503\nsend d n1=active\nwait 60\n"
                         "send c1 GET up\nexpect c1 200")
+
+
+class Keyed(Scenario):
+    """A class whose writes bear a key: without it on the way out no node could tell a repeat from new work."""
+
+    settings: ClassVar[dict[str, Any]] = {**SETTINGS, "classes": [
+        SETTINGS["classes"][0],
+        {**SETTINGS["classes"][1], "effect": "idempotency_key", "dedup-scope": "cell", "key-ttl-ms": 2500.0}]}
+
+    async def test_the_key_passes_unchanged_on_new_and_kept_connections_and_with_a_large_body(self) -> None:
+        for body in ("new", "kept", "x" * 20000):
+            await self.play(f"""
+                send c1 PUT 5 {body} Idempotency-Key=k-{len(body)}
+                expect n1 PUT 5 {body} Idempotency-Key=k-{len(body)}
+                send n1 200 done
+                expect c1 200 done
+            """)
+
+    async def test_a_repeat_of_what_may_have_run_bears_the_same_key(self) -> None:
+        await self.play("""
+            send c1 PUT 5 once Idempotency-Key=7f3a id=9b1f03aa5c7e2d41
+            expect n1 PUT 5 once Idempotency-Key=7f3a
+            close n1
+            expect n1 PUT 5 once Idempotency-Key=7f3a Request-Id=9b1f03aa5c7e2d41
+            send n1 200 done
+            expect c1 200 done
+        """)
+
+    async def test_a_keyed_write_without_one_sound_key_reaches_no_node(self) -> None:
+        await self.play("""
+            send c1 PUT 5 once
+            expect c1 400
+            send c2 PUT 5 once Idempotency-Key=
+            expect c2 400
+        """)
+        head = ("PUT /api?key=0000000000000005 HTTP/1.1\\r\\nHost: a\\r\\nRequest-Id: twice\\r\\nTier: basic\\r\\n"
+                "Request-Class: write\\r\\nRequest-Timeout-Ms: 900\\r\\nContent-Length: 0\\r\\n"
+                f"IO-Info: volume={VOLUME},units=2,shard=1,hosts=1\\r\\n")
+        await self.play(f"""
+            send c3 raw "{head}Idempotency-Key: a\\r\\nIdempotency-Key: b\\r\\n\\r\\n"
+            expect c3 400
+            expect n1 nothing
+        """)
