--- a/tests/test_scenarios_http.py
+++ b/tests/test_scenarios_http.py
@@ -637,7 +637,7 @@
 
 
 class Keyed(Scenario):
-    """A class whose writes bear a key: without it on the way out no node could tell a repeat from new work."""
+    """A class whose writes bear a key: without it no node could tell a repeat from new work."""
 
     settings: ClassVar[dict[str, Any]] = {**SETTINGS, "classes": [
         SETTINGS["classes"][0],
