Hold a node's capacity to what it shows within the tightest aim; refuse at once what waits in vain

Capacity grew by a request a round while answers came in time, so a surge went out whole, came back late, and left the node to single tests: lines `_step_capacity` and `_may_wait`. Work of 30 to 110 ms against an aim of 250 ms makes it show; it was so on the first site too, where 15 to 64 ms stand against 150.

--- a/shaletiller/logic.py
+++ b/shaletiller/logic.py
@@ -17,9 +17,9 @@
 
 ROUND_PART = 0.5  # a round lasts this part of the tightest aim
 START_REQUESTS = 4  # a node's first capacity, in requests of each class
-CEILING_REQUESTS = 16  # a node's largest capacity, in requests
+SHOWN_REQUESTS, CEILING_REQUESTS = 6, 32  # a node's largest capacity, in requests: taken as shown, and at all
 LATE_LEAST, LATE_MOST = 0.1, 0.4  # an answer is late from this part of its aim, by what its zone is worth
-FALL_PART = 0.1  # how far a late round takes the capacity toward what was served
+FALL_PART, SHOWN_PART = 0.1, 0.25  # how far a round takes it: late, to what was served; any, to what is shown
 TESTS_OUT = 8  # so many tests of a slow node may be out in the mean, from all hosts together
 LAG_PART = 0.1  # an answer's part in the node's lag, at least
 LAG_MEMORY_MS = 2000.0  # and all of it after a multiple of this without an answer
@@ -320,15 +320,15 @@
             lane.capacity -= FALL_PART * max(0.0, lane.capacity - lane.served)
         elif lane.verdict > 0 and lane.taken + lane.served >= lane.capacity / 2:
             lane.capacity += one
+        shown = max(SHOWN_REQUESTS * one, lane.served / ROUND_PART)  # so much it does within the tightest aim
+        lane.capacity -= SHOWN_PART * max(0.0, lane.capacity - shown)
         lane.capacity = min(max(lane.capacity, one), CEILING_REQUESTS * one)
         lane.served, lane.verdict = 0.0, 0
 
     def _split(self, lane: Lane) -> None:
         """The slots of each class by payoff, under the last arrival rates and the capacity as it is now."""
-        demands = []
-        for kind, asked in enumerate(lane.asked):
-            rate, rounds = _rounded(asked.add(self._now)), self._rounds[kind // BANDS]
-            demands.append(Demand(rate, self._worth[kind], self._set.mean_units, rounds))
+        demands = [Demand(_rounded(asked.add(self._now)), self._worth[kind], self._set.mean_units,
+                          self._rounds[kind // BANDS]) for kind, asked in enumerate(lane.asked)]
         lane.slots = best_split(demands, lane.capacity, 1000 / self._round_ms)
 
     # ---- release
@@ -465,7 +465,9 @@
         """Refuse only if the class queue is full and the node's next K rounds are taken."""
         if held.deadline_ms <= self._next_round_ms + self._set.tick_ms:
             return False
-        if self._now + self._wait_ms(held, lane) + lane.lag_ms * self._size(held) > held.due_ms:
+        slow = lane.lag_ms > self._late_ms(held)  # its next test is half a lag off, the least paid last
+        wait_ms = self._wait_ms(held, lane) + lane.lag_ms * (self._size(held) + slow / 2)
+        if self._now + wait_ms > held.due_ms or (slow and held.kind % BANDS == BEYOND):
             return False
         rounds = self._rounds[held.kind // BANDS]
         if len(lane.queues[held.kind]) < rounds * lane.slots[held.kind]:
@@ -505,9 +507,8 @@
         volume, units = held.volume, held.ask.units
         if volume.plan.limit_rate <= 0:
             return True
-        for each in self._held.values():
-            if each.volume is volume and not each.sends and each is not held:
-                units += each.ask.units
+        units += sum(each.ask.units for each in self._held.values()
+                     if each.volume is volume and not each.sends and each is not held)
         return self._limit_level(volume) >= units
 
     def _limit_level(self, volume: Volume) -> float:
@@ -827,8 +828,7 @@
         ready = {at.shard for at in self._nodes.values() if at.state is i.NodeState.READY}
         shards = sorted(ready) or sorted(self._lanes) or [0]
         lanes = [self._lane_for(shard) for shard in shards]
-        return max(lanes, key=lambda lane: (
-            lane.capacity - lane.taken - lane.failed.add(self._now), -lane.shard))
+        return max(lanes, key=lambda at: (at.capacity - at.taken - at.failed.add(self._now), -at.shard))
 
     def _cold_allows(self, lane: Lane, units: float) -> bool:
         """Rule 4: this host's part of what a cold node certainly bears, rising with the ramp.
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -390,3 +390,41 @@
         assert 2.0 * inside <= borne * (0.25 + 0.75 * (first + span) / 12000.0) / 0.25 + 4.0 / 2 * can
     most = max(sum(first <= each < first + span for each in sent) for first in sent)
     assert 2.0 * most > borne * (0.25 + 0.75 * 6000.0 / 12000.0) / 0.25  # past what the turns alone allow
+
+
+def test_a_burst_of_answers_in_time_does_not_open_a_node_beyond_what_it_has_shown() -> None:
+    # Growing by a request a round as long as answers come in time, a capacity stood at 25 units at nodes that
+    # clear a dozen within the aim: the next surge went out whole, all of it late.
+    host = Host()
+    lane, one = host.scheduler._lane_for(0), 2.0
+    for _ in range(40):
+        lane.served, lane.verdict = 4.0, 1  # so little, in time each round
+        lane.taken = lane.capacity
+        host.scheduler._step_capacity(lane)
+    assert lane.capacity <= 9 * one
+    for _ in range(40):
+        lane.served, lane.verdict = 30.0, 1  # a larger node shows what it can do, and gets it
+        host.scheduler._step_capacity(lane)
+    assert lane.capacity > 25 * one
+
+
+def test_work_beyond_its_share_does_not_wait_for_a_node_that_is_slow_for_it() -> None:
+    # It waited behind all other work until its aim was past, and was refused then.
+    plan = i.PlanSpec("basic", base_rate=4, reserve=0.001)
+    host = Host(plans=(plan,))
+    fill(host, 3)
+    lane = host.scheduler._lanes[0]
+    lane.lag_ms = 60.0  # it would not miss its aim for that
+    held = host.scheduler._held["f2"]
+    for band, waits in ((1, True), (2, False)):
+        held.kind = band
+        assert host.scheduler._may_wait(held, lane) is waits
+
+
+def test_the_wait_for_a_slow_node_counts_the_time_to_its_next_test() -> None:
+    host = Host()
+    fill(host, 3)
+    lane, held = host.scheduler._lanes[0], host.scheduler._held["f2"]
+    lane.lag_ms = 180.0  # on its own it is in time, after half of what is out before it it is not
+    assert host.scheduler._now + lane.lag_ms < held.due_ms
+    assert not host.scheduler._may_wait(held, lane)
