--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -21,11 +21,11 @@
 from shaletiller.net.discovery import Discovery
 from shaletiller.net.http_back import HttpBack
 from shaletiller.net.http_front import HttpFront
-from shaletiller.net.nvme.back import BoxBack
-from shaletiller.net.nvme.front import NvmeFront
 from shaletiller.net.peers import Peers
 
 if TYPE_CHECKING:
+    from shaletiller.net.nvme.back import BoxBack
+    from shaletiller.net.nvme.front import NvmeFront
     from shaletiller.telemetry.otlp import Otlp
 
 KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections still come for a while
@@ -48,7 +48,7 @@
         # Shared by all nodes that speak HTTP: what is kept for one node would add up over those that go.
         self._http = HttpBack(config.settings, config.back_sockets // (2 if config.nvme.box else 1))
         a_box = config.back_sockets // 2 // max(1, len(config.nvme.box))
-        self._boxes = {box.node: BoxBack(box, config.settings, a_box) for box in config.nvme.box}
+        self._boxes = self._nvme_boxes(a_box)
         self.discovery = Discovery(
             config.discovery, config.known, self._back_of, self.engine.nodes, config.seed)
         self.front = HttpFront(
@@ -56,7 +56,7 @@
         self.peers = Peers(config.peers, config.peers_all, self._heard)
         self.engine.tell = self.peers.tell
         self.engine.fetch_list = lambda: self.engine.spawn(self.discovery.fetch())
-        self.nvme = NvmeFront(config.nvme.front, self.engine) if config.nvme.front.listen else None
+        self.nvme = self._nvme_front()
         self._watch: asyncio.Task[None] | None = None
         self._longest_ms = max(spec.deadline_ms for spec in config.settings.classes)
         self._stopping = False
@@ -68,6 +68,22 @@
             "DRAIN": lambda words: self._drain(True), "UNDRAIN": lambda words: self._drain(False),
         }) if config.admin else None
 
+    # ---- NVMe over TCP: loaded only where it is configured, for it takes CPU at the start
+
+    def _nvme_boxes(self, sockets: int) -> dict[str, BoxBack]:
+        if not self.config.nvme.box:
+            return {}
+        from shaletiller.net.nvme.back import BoxBack
+
+        return {box.node: BoxBack(box, self.config.settings, sockets) for box in self.config.nvme.box}
+
+    def _nvme_front(self) -> NvmeFront | None:
+        if not self.config.nvme.front.listen:
+            return None
+        from shaletiller.net.nvme.front import NvmeFront
+
+        return NvmeFront(self.config.nvme.front, self.engine)
+
     # ---- the operators' calls
 
     def _ready(self, words: list[str]) -> list[str]:
