--- a/shaletiller/fleet/core.py
+++ b/shaletiller/fleet/core.py
@@ -37,6 +37,7 @@
     messages_a_second: float = 100.0  # of this member, beyond which nothing is sent
     gossip_ms: float = 100.0
     fanout: int = 3
+    gather_ms: float = 0.0  # what goes to one member within so long goes in one datagram
     quorum: int = 2  # distinct observers that a verdict needs to take work from a node
 
     def __post_init__(self) -> None:
@@ -101,7 +102,7 @@
         self._out: dict[int, list[bytes]] = {}
         self._own: deque[Known] = deque()
         self._synced: dict[int, float] = {}
-        self._gossip_ms = now_ms
+        self._gossip_ms = self._sent_ms = now_ms
         self._urgent = False
         self._tokens, self._tokens_ms = options.messages_a_second, now_ms
         self.counts: Counter[str] = Counter()
@@ -240,6 +241,9 @@
         if self._urgent:
             self._urgent = False
             self._gossip()
+        if self._now - self._sent_ms < self.options.gather_ms:
+            return
+        self._sent_ms = self._now
         out, self._out = self._out, {}
         for member, parts in out.items():
             self._send(member, parts)
--- a/shaletiller/fleet/liaison.py
+++ b/shaletiller/fleet/liaison.py
@@ -50,10 +50,11 @@
         self, me: int, names: Sequence[str], now_ms: float, settings: i.Settings, options: Options,
         policies: Mapping[str, Policy], send: Callable[[int, bytes], None],
         decide: Callable[[i.Event], None], ban: Callable[[str, bool], None],
-        renew: Callable[[str, float], None], seed: int = 0, name: str = "",
+        renew: Callable[[str, float], None], seed: int = 0, name: str = "", cold_budgets: bool = True,
     ) -> None:
         self.settings = settings
         self._policies = policies
+        self._cold_budgets = cold_budgets and settings.cold_units > 0
         self.send = send
         self._decide, self._ban, self._renew = decide, ban, renew
         self._first: list[i.Event] | None = None  # what the module must have before an event
@@ -87,7 +88,7 @@
             even = of.times(1 / max(1, ask.volume_hosts)) if policy == "available" else NOTHING
             self.fleet.asked(f"v:{ask.volume}", of, ask.units, self.settings.most_units, self._now, even=even)
         cold = self._cold.get(ask.shard)
-        if cold is not None and self._is_cold(cold[1]) and self.settings.cold_units > 0:
+        if cold is not None and self._is_cold(cold[1]) and self._cold_budgets:
             self.fleet.asked(
                 f"c:{cold[0]}", Amount(0.0, self.settings.cold_units), ask.units, self.settings.most_units,
                 self._now, settle_ms=self.settings.fall_ms)
@@ -125,8 +126,10 @@
         if event.outcome is i.Outcome.OK:
             node.lag_ms += (event.lag_ms - node.lag_ms) * (LAG_PART if node.lag_ms else 1.0)
             self._usual_ms += (event.lag_ms - self._usual_ms) * (LAG_PART if self._usual_ms else 1.0)
-        slow = node.lag_ms > SLOW_TIMES * self._usual_ms
         self._word(event.node, node, Kind.DEAD, 1 if node.failures >= FAILURES else 0, GONE_MS)
+        if self.settings.tell_price > 0:
+            return  # no decision goes by the others: they are operators' to read, and not worth a price
+        slow = node.lag_ms > SLOW_TIMES * self._usual_ms
         self._word(event.node, node, Kind.TURNING, 1 if node.full >= FAILURES else 0, TURNING_MS)
         self._word(event.node, node, Kind.SLOW, int(node.lag_ms) if slow else 0, SLOW_MS)
 
--- a/shaletiller/fleet/verdicts.py
+++ b/shaletiller/fleet/verdicts.py
@@ -57,11 +57,11 @@
     return word.node, word.kind, EVERYONE if word.kind == Kind.BAN else word.observer
 
 
-def rank(word: Verdict) -> tuple[int, int, int, int, int]:
+def rank(word: Verdict) -> tuple[int, int, int, int, int, int]:
     """Words under one key are ordered by this alone, in whatever order they come; a ban's life counts
     nothing."""
     life = 0 if word.kind == Kind.BAN else word.life
-    return life, word.stamp, word.observer, word.value, word.until
+    return life, word.stamp, word.observer, word.value, word.until, word.life
 
 
 class Verdicts:
--- a/shaletiller/net/fleet.py
+++ b/shaletiller/net/fleet.py
@@ -33,7 +33,7 @@
         self.liaison = Liaison(
             me, names, clock.now_ms(), config.settings, options,
             {limit.name: limit.policy for limit in part.limit}, self._send, engine.decide, self._ban,
-            engine.renew, config.seed, part.name)
+            engine.renew, config.seed, part.name, part.cold_budgets)
         if part.carrier == "tcp":
             addresses = [read_address(each.address, f"fleet.member {each.name}") for each in part.member]
             self._links = Links(me, addresses, self.receive, config.seed)
--- a/shaletiller/operator_file.py
+++ b/shaletiller/operator_file.py
@@ -69,6 +69,8 @@
     gossip_ms: Positive = 100.0
     fanout: Annotated[int, msgspec.Meta(ge=1)] = 3
     quorum: Annotated[int, msgspec.Meta(ge=1)] = 2
+    gather_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_budgets: bool = True  # whether cold storage nodes' budgets are held together, or by turns as without
 
     @property
     def on(self) -> bool:
@@ -81,7 +83,7 @@
             timing=Timing(self.period_ms, self.ack_ms, self.suspect_ms),
             terms=Terms(self.term_ms or max(terms.term_ms, 2 * self.lease_ms), self.lease_ms, self.drift),
             messages_a_second=self.messages_a_second, gossip_ms=self.gossip_ms, fanout=self.fanout,
-            quorum=self.quorum)
+            quorum=self.quorum, gather_ms=self.gather_ms)
 
 
 class OperatorFile(Group, frozen=True):
