Keep what a gateway promises on a store that lasts and at further gateways: store, copies, a lab

Need: an operator's DISABLE, the outcome of a keyed write and the knowledge that one may have run lay in one process or one file under $TMPDIR; with the machine they were gone.

Off unless an operators' file switches it on; run loads nothing of it.

--- a/shaletiller/__main__.py
+++ b/shaletiller/__main__.py
@@ -35,6 +35,13 @@
 
 
 def main() -> int:
+    if sys.argv[1:2] == ["store"]:
+        try:
+            from shaletiller.store.cli import main as store  # its libraries are not those of a gateway
+        except ModuleNotFoundError as error:
+            print(f"shaletiller: store: {error.name} is not installed: make lab", file=sys.stderr)
+            return 2
+        return store(sys.argv[2:])
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     forward_libraries()
     try:
--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -34,6 +34,8 @@
         self.table: dict[str, Exchange] = {}
         self.tell: Callable[[int | None, str], None] = lambda peer, data: None
         self.fetch_list: Callable[[], object] = lambda: None
+        # Takes a call whose promise is to be copied first, and admits it itself; False: it is none of those.
+        self.vow: Callable[[Exchange], bool] = lambda exchange: False
         # Shown each event before the module has it; gives the events that the module must have first.
         self.precede: Callable[[i.Event, float], Sequence[i.Event]] = lambda event, now_ms: ()
         self._clock = clock
@@ -67,7 +69,8 @@
         exchange = self.take_in(call, answer)
         wait_ms = call.timeout_ms + GUARD_MS
         exchange.guard = self._clock.call_later(wait_ms, self._on_guard, exchange)
-        self.admit(exchange)
+        if not self.vow(exchange):
+            self.admit(exchange)
         return exchange
 
     def client_left(self, exchange: Exchange) -> None:
@@ -173,7 +176,7 @@
             self._on_guard(exchange)
 
     def _on_guard(self, exchange: Exchange) -> None:
-        if exchange.over:
+        if exchange.answered:
             return
         log(f"request {exchange.call.id}: no answer by its deadline, guarded")
         self.relay.give_up(exchange, exchange.call.service in self._safe)
--- a/shaletiller/core/model.py
+++ b/shaletiller/core/model.py
@@ -85,11 +85,19 @@
     final: Verdict | None = None
     left: bool = False
     attempts: list[Attempt] = field(default_factory=list)
+    # Whether its outcome is being copied: nothing more is sent for it, and then it has its answer.
+    settling: bool = False
+    keeps: Callable[[Answer | None], None] | None = None  # told how it ended, None where its client left
 
     @property
-    def over(self) -> bool:
+    def answered(self) -> bool:
         return self.left or self.final is not None
 
+    @property
+    def over(self) -> bool:
+        """Whether nothing is owed to it by the decision module any more."""
+        return self.answered or self.settling
+
     @property
     def harmless(self) -> bool:
         """Whether every attempt is proven never to have run."""
--- a/shaletiller/core/relay.py
+++ b/shaletiller/core/relay.py
@@ -15,8 +15,14 @@
         self._counts = counts
         self.seen: Callable[[Exchange], None] = lambda exchange: None
 
-    def __call__(self, exchange: Exchange, answer: Answer) -> None:
-        if exchange.over:
+    def __call__(self, exchange: Exchange, answer: Answer, settled: bool = False) -> None:
+        """`settled`: the answer of one who keeps the call's outcome, which needs no further word of it."""
+        if exchange.answered or (exchange.settling and not settled):
+            return
+        keeps = None if settled else exchange.keeps
+        if keeps is not None and answer.verdict is Verdict.SERVED:
+            exchange.settling = True  # told only when it is kept
+            keeps(answer)
             return
         exchange.final = answer.verdict
         self.forget(exchange)
@@ -26,11 +32,15 @@
             exchange.answer(answer)
         except Exception as error:  # a broken front must not take the other requests with it
             log(f"answer not delivered: {error!r}")
+        if keeps is not None:
+            keeps(answer)
 
     def left(self, exchange: Exchange) -> None:
         exchange.left = True
         self.forget(exchange)
         self._counts["left"] = self._counts.get("left", 0) + 1
+        if exchange.keeps is not None:
+            exchange.keeps(None)
 
     def forget(self, exchange: Exchange) -> None:
         if exchange.guard is not None:
@@ -41,4 +51,4 @@
     def give_up(self, exchange: Exchange, safe: bool) -> None:
         """The module kept silent: refuse only where a repeat does no harm."""
         refused = safe or exchange.harmless
-        self(exchange, Answer(Verdict.REFUSED if refused else Verdict.FAILED))
+        self(exchange, Answer(Verdict.REFUSED if refused else Verdict.FAILED), settled=exchange.settling)
--- a/shaletiller/fleet/liaison.py
+++ b/shaletiller/fleet/liaison.py
@@ -13,6 +13,7 @@
 from typing import Literal
 
 from shaletiller import interface as i
+from shaletiller.fleet.codec import Verdict
 from shaletiller.fleet.core import Fleet, Options
 from shaletiller.fleet.membership import State
 from shaletiller.fleet.shares import NOTHING, Amount, Share
@@ -153,6 +154,10 @@
         self._banned = self._banned | {node} if out else self._banned - {node}
         self.fleet.observe(node, Kind.BAN, 0, 1 if out else 0, BAN_MS, now_ms)
 
+    def restore(self, word: Verdict) -> None:
+        """An operator's word as it was kept: with the stamp that it had, so that a newer one stands."""
+        self.fleet.verdicts.take(word, self._now)
+
     # ---- messages and time
 
     def receive(self, data: bytes, now_ms: float) -> None:
--- a/shaletiller/fleet/verdicts.py
+++ b/shaletiller/fleet/verdicts.py
@@ -84,6 +84,10 @@
     def __iter__(self) -> Iterator[Verdict]:
         return iter(list(self._words.values()))
 
+    def ban_of(self, node: str) -> Verdict | None:
+        """The newest operator's word on a node."""
+        return self._words.get((node, Kind.BAN, EVERYONE))
+
     @property
     def digest(self) -> int:
         """Equal for equal maps; kept up as words come and go."""
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -11,7 +11,7 @@
 
 from shaletiller import interface as i
 from shaletiller.clock import Clock
-from shaletiller.config import Config, ConfigError, read_address
+from shaletiller.config import Config, ConfigError, ServerList, read_address
 from shaletiller.core import figures
 from shaletiller.core.bans import Bans
 from shaletiller.core.engine import Engine
@@ -27,6 +27,7 @@
     from shaletiller.net.fleet import FleetPort
     from shaletiller.net.nvme.back import BoxBack
     from shaletiller.net.nvme.front import NvmeFront
+    from shaletiller.net.promises import PromisePort
     from shaletiller.telemetry.otlp import Otlp
 
 KEEP_ACCEPTING_S = 0.75  # after SIGTERM: new connections still come for a while
@@ -55,6 +56,7 @@
         self.front = HttpFront(
             self.engine, config.front_sockets, lambda: self.discovery.held, self._clock)
         self.fleet = self._fleet_port()
+        self.promises = self._promise_port()
         self.peers = Peers(config.peers, config.peers_all, self._heard,
                            self.fleet.receive if self.fleet is not None else None)
         self.engine.tell = self.peers.tell
@@ -88,6 +90,23 @@
 
         return FleetPort(self.config, operator.fleet, self.engine, self._clock)
 
+    def _promise_port(self) -> PromisePort | None:
+        operator = self.config.operator
+        if operator is None or self.fleet is None or not operator.promises.on:
+            return None
+        from shaletiller.net.promises import PromisePort
+
+        port = PromisePort(operator, self.fleet, self.engine, self._clock, self.config.name)
+        port.listed = self._listed
+        port.drained = self.front.drain
+        self.discovery.news = port.news
+        return port
+
+    def _listed(self, kept: ServerList) -> None:
+        """A node list that was kept: it serves where nothing newer is there yet."""
+        if self.discovery.start_from(kept):
+            log(f"node list of version {kept.version} as it was kept")
+
     def _nvme_front(self) -> NvmeFront | None:
         if not self.config.nvme.front.listen:
             return None
@@ -110,6 +129,7 @@
             "ejected": len(engine.banned & engine.listed.keys()),
             "sighup_applied": self.sighup["applied"], "sighup_rejected": self.sighup["rejected"],
             **(self.fleet.figures() if self.fleet is not None else {}),
+            **(self.promises.figures() if self.promises is not None else {}),
         }
         classes = [spec.name for spec in engine.settings.classes]
         return ["", *figures.lines(engine.counts, classes, gauges), "end"]
@@ -120,27 +140,37 @@
             raise Refused("wants the id of one storage node")
         return words[0]
 
-    def _disable(self, words: list[str]) -> list[str]:
+    async def _kept(self, word: Awaitable[None], first: str) -> list[str]:
+        """An operator's word that holds here: done when most of its copies have it."""
+        from shaletiller.net.promises import KeptHere
+
+        try:
+            await word
+        except KeptHere as error:
+            raise Refused("kept here only: no majority of its copies; call again later") from error
+        return [first]
+
+    def _disable(self, words: list[str]) -> list[str] | Awaitable[list[str]]:
         node = self._node(words)
         if node not in self.engine.listed and node not in self.bans.held:
             raise Refused(f"no: no storage node {node[:64]} on the list")
         self.bans.add(node)
         if self.fleet is not None:
             self.fleet.ban(node, True)
-        return [node]
+        return [node] if self.promises is None else self._kept(self.promises.ban(node), node)
 
-    def _enable(self, words: list[str]) -> list[str]:
+    def _enable(self, words: list[str]) -> list[str] | Awaitable[list[str]]:
         node = self._node(words)
         if node not in self.engine.listed and node not in self.bans.held:
             raise Refused(f"no: no storage node {node[:64]} on the list")
         self.bans.remove(node)
         if self.fleet is not None:
             self.fleet.ban(node, False)
-        return [node]
+        return [node] if self.promises is None else self._kept(self.promises.ban(node), node)
 
-    def _drain(self, drained: bool) -> list[str]:
+    def _drain(self, drained: bool) -> list[str] | Awaitable[list[str]]:
         self.front.drain(drained)
-        return []
+        return [] if self.promises is None else self._kept(self.promises.drain(drained), "")
 
     async def _look_at_bans(self) -> None:
         while True:
@@ -167,13 +197,18 @@
             self.telemetry = Otlp(self.config.telemetry, self.config.name, self.engine, self._clock)
         self.bans.look()  # before the first list: what the process before this one took out stays out
         self.discovery.start_from_known()
+        if self.promises is not None:
+            self.promises.open()
         if self.admin is not None and self.config.admin is not None:
             await self.admin.start(*self.config.admin)
             log(f"operators' door at {self.admin.address[0]}:{self.admin.address[1]}")
         if self.config.settings.may_tell and self.config.peer_listen is not None:
             await self.peers.start(self.config.peer_listen)
         if self.fleet is not None:
-            await self.fleet.start(self.peers, self.bans)
+            known = self.promises.banned() if self.promises is not None else {}
+            await self.fleet.start(self.peers, self.bans, known)
+        if self.promises is not None:
+            await self.promises.start()
         self.front.start(*self.config.listen)
         if self.nvme is not None:
             await self.nvme.start(*read_address(self.config.nvme.front.listen, "front.listen"))
@@ -235,6 +270,8 @@
         for back in backs:
             await back.close()
         self.peers.close()
+        if self.promises is not None:
+            await self.promises.close()
         if self.fleet is not None:
             self.fleet.close()
         if self.telemetry is not None:
--- a/shaletiller/lab/cli.py
+++ b/shaletiller/lab/cli.py
@@ -6,12 +6,15 @@
 import asyncio
 import json
 import sys
+from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 
-from shaletiller.lab import cost, fleet_run, fleet_sim, scenario
+from shaletiller.lab import cost, fleet_run, fleet_sim, promise_cost, promise_run, promise_sim, scenario
+from shaletiller.lab import cut as cutting
+from shaletiller.lab import small as smallest
 from shaletiller.lab.gateways import LabError
 from shaletiller.lab.guarantees import Outcome
 
@@ -52,6 +55,87 @@
     show(out, to)
 
 
+@app.command()
+def promises(
+    gateways: Annotated[int, typer.Option(min=3, max=20)] = 5,
+    seconds: Annotated[float, typer.Option(min=8, max=3600)] = 30.0,
+    seed: Seed = 1,
+    faults: Annotated[str, typer.Option(help=f"{', '.join(scenario.names('promises'))}, or a file")] = "none",
+    rate: Annotated[float, typer.Option(min=1, help="units a second of copied writes, a gateway")] = 60.0,
+    to: Json = None,
+) -> None:
+    """Real processes with stores of their own that keep promises for each other, with faults between them."""
+    try:
+        out = asyncio.run(promise_run.run(
+            gateways, seconds, seed, scenario.load(faults, "promises"), rate=rate))
+    except (LabError, scenario.ScenarioError) as error:
+        typer.echo(f"lab: {error}", err=True)
+        raise typer.Exit(2 if isinstance(error, scenario.ScenarioError) else 3) from error
+    show(out, to)
+
+
+@app.command()
+def cut(
+    folder: Annotated[Path, typer.Argument(metavar="DIR", help="where the store is written")],
+    seed: Seed = 1,
+    step: Annotated[int, typer.Option(min=1, help="try every so manieth byte")] = 1,
+    to: Json = None,
+) -> None:
+    """A store's files cut at every byte, a bit flipped in every byte, a compaction stopped at every call."""
+    show(cutting.run(folder, seed, step), to)
+
+
+@app.command("promises-sim")
+def promises_sim(
+    gateways: Annotated[int, typer.Option(min=3, max=40)] = 5,
+    schedules: Annotated[int, typer.Option(min=0)] = 1000,
+    seed: Seed = 1,
+    small: Annotated[bool, typer.Option(help="also every order of events of three, in minutes")] = False,
+    to: Json = None,
+) -> None:
+    """The copying protocol on a virtual clock: schedules of faults, and exhaustively in the small."""
+    found: dict[str, Any] = {}
+    broken = False
+    if schedules:
+        told = promise_sim.summary(promise_sim.schedules(range(seed, seed + schedules), gateways))
+        found["schedules"], broken = told, told["broken"] > 0
+        typer.echo(
+            f"{'!!' if broken else 'ok'} {told['schedules']} schedules of {gateways} gateways: "
+            f"{told['broken']} broke a promise; {told['promises']} outcomes told of {told['keys']} keys, "
+            f"{told['repeats_answered']} repeats got the same answer; answers {told['answers']}")
+        for each in told["failures"]:
+            typer.echo(f"   seed {each['seed']}: {'; '.join(each['broken'])}")
+    if small:
+        covered = smallest.in_the_small(smallest.JOBS, 2_000_000)
+        found["small"] = [asdict(each) for each in covered]
+        broken = broken or any(each.broken for each in covered)
+        for line in smallest.lines(covered):
+            typer.echo(line)
+    if to is not None:
+        to.write_text(json.dumps(found, indent=1) + "\n")
+    raise typer.Exit(1 if broken else 0)
+
+
+@app.command("promises-cost")
+def promises_cost(
+    seconds: Annotated[float, typer.Option(min=2, max=600, help="of load in each turn")] = 8.0,
+    turns: Annotated[int, typer.Option(min=1)] = 3,
+    seed: Seed = 1,
+    records: Annotated[int, typer.Option(help="the largest store that is opened")] = 1_000_000,
+    held: Annotated[int, typer.Option(help="outcomes that the fleet holds when a machine is lost")] = 5_000,
+    plot: Annotated[Path | None, typer.Option(help="a picture of it (PNG)")] = None,
+    to: Json = None,
+) -> None:
+    """What promises cost: local against copied, group commit, recovery, and a lost machine's repair."""
+    found = asyncio.run(promise_cost.measure(seconds, seed, turns, records, held))
+    for line in promise_cost.lines(found):
+        typer.echo(line)
+    if to is not None:
+        to.write_text(json.dumps(found, indent=1) + "\n")
+    if plot is not None:
+        promise_cost.draw(found, plot)
+
+
 @app.command("fleet-sim")
 def sim(
     gateways: Annotated[int, typer.Option(min=3, max=2000)] = 5,
--- a/shaletiller/lab/fleet_run.py
+++ b/shaletiller/lab/fleet_run.py
@@ -76,6 +76,7 @@
         self.processes: dict[str, Process] = {}
         self.course: list[tuple[float, str]] = []
         self.began_ms = 0.0
+        self.wipes: list[tuple[float, str]] = []
         self._struck: dict[str, str] = {}
         self.bans: list[tuple[str, float, float]] = []  # node, when `done` was said, and when it was lifted
 
@@ -113,7 +114,8 @@
             for other in self.names:
                 port = listens[name] if other == name else self.wires.tcp[name, other]
                 lines.append(f'member "{other}" address="127.0.0.1:{port}"')
-        return "fleet {\n    " + "\n    ".join(filter(None, lines)) + "\n}\n" + self.operator
+        own = self.operator.replace("FOLDER", str(self.folder / name))
+        return "fleet {\n    " + "\n    ".join(filter(None, lines)) + "\n}\n" + own
 
     @property
     def granter(self) -> str:
@@ -145,6 +147,10 @@
             getattr(self.processes[names[0]], fault.verb)()
         elif fault.verb in ("disable", "enable"):
             await self._by_hand(fault)
+        elif fault.verb == "wipe":
+            self.processes[names[0]].wipe()
+        elif fault.verb == "disk":
+            self.processes[names[0]].drill(fault.options)
         else:
             raise LabError(f"fault {fault.verb!r} is not one of this run")
 
@@ -167,6 +173,8 @@
             if wait_ms > 0:
                 await asyncio.sleep(wait_ms / 1000)
             await self.inflict(fault)
+            if fault.verb == "wipe":
+                self.wipes.append((now_ms(), self.who(fault.args[0])))
 
     async def stop(self) -> None:
         await asyncio.gather(*(process.stop() for process in self.processes.values()))
@@ -259,7 +267,7 @@
     out.guarantees.append(Guarantee(
         "unanswered", 0, len(silent), note=f"{len(load.asked)} requests"))
     out.figures = {
-        "statuses": _count(str(each.status) for each in load.asked),
+        "statuses": count(str(each.status) for each in load.asked),
         "units_limited": sum(spend.units for spend in limited),
         "stats": stats, "cpu_s_and_mb": usage,
         "silent": [f"{each.gateway} {each.why}" for each in silent[:5]],
@@ -268,7 +276,7 @@
     return out
 
 
-def _count(values: Any) -> dict[str, int]:
+def count(values: Any) -> dict[str, int]:
     found: dict[str, int] = {}
     for value in values:
         found[value] = found.get(value, 0) + 1
--- a/shaletiller/lab/gateways.py
+++ b/shaletiller/lab/gateways.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -149,6 +150,22 @@
         assert self._process is not None
         await self._process.wait()
 
+    def wipe(self) -> None:
+        """The machine is lost with its disk: all that the process kept is gone, its configuration stays."""
+        if self.alive:
+            raise LabError(f"{self.name}: its folder can be wiped only while it is down")
+        for path in self.folder.iterdir():
+            if path not in (self._config, self._operator) and path.name != "log.txt":
+                shutil.rmtree(path) if path.is_dir() else path.unlink()
+
+    def drill(self, faults: dict[str, Any]) -> None:
+        """Faults under its store, from now on; an operators' file with `drill` looks there."""
+        self.drills.write_text(json.dumps(faults))
+
+    @property
+    def drills(self) -> Path:
+        return self.folder / "drill.json"
+
     def pause(self) -> None:
         self._signal(signal.SIGSTOP)
         self.paused = True
--- a/shaletiller/lab/load.py
+++ b/shaletiller/lab/load.py
@@ -56,6 +56,7 @@
     sent_ms: float = 0.0
     ended_ms: float = 0.0
     why: str = ""
+    content: str = ""  # the request that this one repeats: what is asked is the same
 
 
 @dataclass
@@ -144,8 +145,9 @@
         if each.key:
             heads["Idempotency-Key"] = each.key
         method = "PUT" if stream.write else "GET"
-        target = f"/api?key={int(each.request, 16):016x}"
-        body = each.request.encode() if stream.write else b""
+        content = each.content or each.request
+        target = f"/api?key={int(content, 16):016x}"
+        body = content.encode() if stream.write else b""
         return lambda peer: peer.write(f"{method} {target} HTTP/1.1", heads, body)
 
 
--- a/shaletiller/lab/scenario.py
+++ b/shaletiller/lab/scenario.py
@@ -11,9 +11,11 @@
     cut NAME... [one-way=true]     what goes between these gateways and the others, or only what they send
     heal                           all links as new
     worsen [loss=P] [doubled=P] [most-ms=T]     all links
-    kill NAME | start NAME | pause NAME | resume NAME | wipe NAME (its folder, while it is down)
+    kill NAME | stop NAME | start NAME | pause NAME | resume NAME     SIGKILL; SIGTERM, and its end awaited
+    wipe NAME                      its folder, while it is down
     disable NODE via=NAME | enable NODE via=NAME     an operator's call at a gateway's door
     node NODE close|restart|silent|up|slow
+    disk NAME [slow-ms=T] [full=true] [sync-fails=true]     from now on; none of them: sound again
 
 `granter` in place of a name is the member that grants the limit under test at that moment.
 """
@@ -25,7 +27,8 @@
 from typing import Any
 
 FOLDER = Path(__file__).parent / "scenarios"
-VERBS = {"cut", "heal", "worsen", "kill", "start", "pause", "resume", "wipe", "disable", "enable", "node"}
+VERBS = {"cut", "heal", "worsen", "kill", "start", "pause", "resume", "wipe", "disable", "enable", "node",
+         "disk", "stop"}
 
 
 class ScenarioError(Exception):
@@ -58,20 +61,22 @@
         return (min(times), max(times)) if times else (1.0, 1.0)
 
 
-def names() -> list[str]:
-    return sorted(path.stem for path in FOLDER.glob("*.kdl"))
+def names(kind: str = "") -> list[str]:
+    """Of a kind that has scenarios of its own, or of the fleet's."""
+    return sorted(path.stem for path in (FOLDER / kind).glob("*.kdl"))
 
 
-def load(name: str) -> Scenario:
+def load(name: str, kind: str = "") -> Scenario:
     """A scenario of the laboratory's own by name, or of a file by its path."""
     import kdl.errors
     import kdl.parsefuncs
 
-    path = Path(name) if name.endswith(".kdl") else FOLDER / f"{name}.kdl"
+    path = Path(name) if name.endswith(".kdl") else FOLDER / kind / f"{name}.kdl"
     try:
         text = path.read_text()
     except OSError as error:
-        raise ScenarioError(f"scenario {name!r}: {error.strerror}; there are {', '.join(names())}") from error
+        raise ScenarioError(
+            f"scenario {name!r}: {error.strerror}; there are {', '.join(names(kind))}") from error
     try:
         found = kdl.parsefuncs.parse(text)
     except kdl.errors.ParseError as error:
--- a/shaletiller/net/admin.py
+++ b/shaletiller/net/admin.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from shaletiller.log import log
 
@@ -22,8 +22,8 @@
     """A call that is turned down; its message follows `error`."""
 
 
-# A call's words after its name give what follows `done` on its line, then further lines.
-Call = Callable[[list[str]], list[str]]
+# A call's words after its name give what follows `done` on its line, then further lines; at once or later.
+Call = Callable[[list[str]], list[str] | Awaitable[list[str]]]
 
 
 class Admin:
@@ -36,14 +36,15 @@
         self._server = await asyncio.start_server(self._serve, host, port, limit=MOST_LINE)
         self.address = self._server.sockets[0].getsockname()[:2]
 
-    def answer(self, line: str) -> list[str]:
+    async def answer(self, line: str) -> list[str]:
         """The lines that answer one call."""
         name, *words = line.split()
         call = self._calls.get(name.upper())
         if call is None:
             return [f"error unknown call {name[:32]}"]
         try:
-            first, *rest = call(words) or [""]
+            found = call(words)
+            first, *rest = (found if isinstance(found, list) else await found) or [""]
         except Refused as error:
             return [f"error {error}"]
         return [f"done {first}".rstrip(), *rest]
@@ -60,7 +61,7 @@
         except (TimeoutError, ConnectionError):
             line = ""
         if line.strip():
-            answer = self.answer(line)
+            answer = await self.answer(line)
             if answer[0].startswith("error"):
                 log(f"admin: {line.strip()[:64]!r}: {answer[0]}")
             writer.write("".join(f"{each}\n" for each in answer).encode())
--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -62,6 +62,8 @@
         self._apply = apply
         self._known = known
         self.held = False
+        self.rows: dict[str, ServerRow] = {}  # the list as it was told, by node
+        self.news: Callable[[ServerList], None] | None = None  # told the whole list after each change
         self.move(address)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -80,7 +82,24 @@
         places = tuple(read_row(row, self._back) for row in found.servers)
         self._version = found.version
         self.held = self.held or bool(places)
+        if kind is not i.ListKind.CHANGES:
+            self.rows.clear()
+        for row in found.servers:
+            if row.state == "left":
+                self.rows.pop(row.id, None)
+            else:
+                self.rows[row.id] = row
         self._apply(kind, found.version, places)
+        if self.news is not None:
+            self.news(ServerList(found.version, True, tuple(self.rows.values())))
+
+    def start_from(self, kept: ServerList) -> bool:
+        """A list that was kept, of this gateway itself; False where the one in hand is no older."""
+        if (self._version or 0) >= kept.version and self.held:
+            return False
+        self._known = kept
+        self.start_from_known()
+        return True
 
     async def fetch(self) -> None:
         """The whole list, once, as the module asked; the watch goes on beside it."""
--- a/shaletiller/net/fleet.py
+++ b/shaletiller/net/fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
+
 from shaletiller.clock import Clock, Timer
 from shaletiller.config import Config, ConfigError, read_address
 from shaletiller.core.bans import Bans
@@ -12,6 +14,7 @@
 from shaletiller.net.links import Links
 from shaletiller.net.peers import Peers
 from shaletiller.operator_file import FleetPart
+from shaletiller.promises.messages import MARK
 
 TICK_MS = 25.0
 SENT_LATE_MS = 100.0  # a tick that comes so late is told of: the process stood still
@@ -28,11 +31,12 @@
         self._timer: Timer | None = None
         self._ticked_ms = clock.now_ms()
         self.late = 0
+        self.heard_promises: Callable[[bytes], None] | None = None
         names, me = self._members(config, part)
         options: Options = part.options(len(names))
         self.liaison = Liaison(
             me, names, clock.now_ms(), config.settings, options,
-            {limit.name: limit.policy for limit in part.limit}, self._send, engine.decide, self._ban,
+            {limit.name: limit.policy for limit in part.limit}, self.send, engine.decide, self._ban,
             engine.renew, config.seed, part.name, part.cold_budgets)
         if part.carrier == "tcp":
             addresses = [read_address(each.address, f"fleet.member {each.name}") for each in part.member]
@@ -49,12 +53,13 @@
         names = [member.name for member in part.member]
         return names, names.index(part.me or config.name)
 
-    async def start(self, peers: Peers, bans: Bans) -> None:
+    async def start(self, peers: Peers, bans: Bans, known: Collection[str] = ()) -> None:
+        """`known`: nodes of which a store holds the operators' words, which go before those of the file."""
         self._peers, self._bans = peers, bans
         if self._links is not None:
             await self._links.start()
         now_ms = self._clock.now_ms()
-        for node in sorted(bans.held):  # what the process before this one took out
+        for node in sorted(bans.held - set(known)):  # what the process before this one took out
             self.liaison.ban(node, True, now_ms)
         self._tick()
         fleet = self.liaison.fleet
@@ -72,12 +77,17 @@
             log(f"fleet: tick broke: {error!r}")
 
     def receive(self, data: bytes) -> None:
+        if data[:1] == MARK:
+            if self.heard_promises is not None:
+                self.heard_promises(data)
+            return
         try:
             self.liaison.receive(data, self._clock.now_ms())
         except Exception as error:
             log(f"fleet: message broke: {error!r}")
 
-    def _send(self, member: int, data: bytes) -> None:
+    def send(self, member: int, data: bytes) -> None:
+        """A message of any kind to a member; it may be lost."""
         if self._links is not None:
             self._links.send(member, data)
         elif self._peers is not None:
--- a/shaletiller/net/links.py
+++ b/shaletiller/net/links.py
@@ -18,8 +18,8 @@
 from shaletiller.log import log
 
 LENGTH = struct.Struct(">I")
-MOST_FRAME = 64 * 1024
-MOST_WAITING = 256  # messages of one link
+MOST_FRAME = 160 * 1024  # an answer of 64 KiB that is copied, and what goes along
+MOST_WAITING = 1024  # messages of one link
 MOST_BUFFERED = 64 * 1024  # bytes given to the kernel and not yet taken by it
 AGAIN_S, MOST_AGAIN_S = 0.05, 2.0  # between two tries to connect: full jitter under a bound that doubles
 CONNECT_S = 1.0
@@ -61,8 +61,10 @@
             self.connects += 1
             try:
                 await self._serve(reader, writer)
-            except OSError as error:
-                log(f"fleet link to {self._address[0]}:{self._address[1]}: {error}")
+            except Exception as error:
+                # Not OSError alone: uvloop answers a call on a connection that has just been reset with a
+                # RuntimeError, and a link that ended with it stayed down for good.
+                log(f"fleet link to {self._address[0]}:{self._address[1]}: {error!r}")
             finally:
                 writer.transport.abort()
             await asyncio.sleep(self._random.uniform(0, AGAIN_S))
--- a/shaletiller/operator_file.py
+++ b/shaletiller/operator_file.py
@@ -86,8 +86,35 @@
             quorum=self.quorum, gather_ms=self.gather_ms)
 
 
+class StorePart(Group, frozen=True):
+    """A folder that outlives the process, on a disk that keeps what it has synced."""
+
+    dir: str = ""  # empty: there is none
+    segment_mb: Positive = 8.0
+    drill: str = ""  # a file of faults to put under the store (store/files.py): for drills alone
+
+
+class ClassRow(Group, frozen=True):
+    """How writes of a class are kept: copied to further gateways before they count, or as ever."""
+
+    name: str
+    level: Literal["copied", "local"] = "copied"
+
+
+class PromisesPart(Group, frozen=True):
+    """Copies of what this gateway promises at further gateways; wants a store and a fleet over TCP."""
+
+    on: bool = False
+    class_: tuple[ClassRow, ...] = msgspec.field(default=(), name="class")
+    copies: Annotated[int, msgspec.Meta(ge=1, le=7)] = 3
+    keep_s: Positive = 86_400.0  # how long the outcome of a write is known
+    repair_bytes_a_second: Positive = 4_000_000.0
+
+
 class OperatorFile(Group, frozen=True):
     fleet: FleetPart = FleetPart()
+    store: StorePart = StorePart()
+    promises: PromisesPart = PromisesPart()
 
 
 def read(path: Path) -> OperatorFile:
@@ -195,6 +222,14 @@
     for at, limit in enumerate(fleet.limit):
         if sum(other.name == limit.name for other in fleet.limit) > 1:
             raise ValueError(f"fleet.limit[{at}].name: {limit.name!r} stands twice")
+    promises = file.promises
+    for at, row in enumerate(promises.class_):
+        if sum(other.name == row.name for other in promises.class_) > 1:
+            raise ValueError(f"promises.class[{at}].name: {row.name!r} stands twice")
+    if promises.on and not file.store.dir:
+        raise ValueError("promises.on: wants a folder for the store, store.dir")
+    if promises.on and (fleet.carrier != "tcp" or not fleet.member):
+        raise ValueError("promises.on: wants the members of a fleet and its carrier \"tcp\"")
     try:
         fleet.options(max(1, len(fleet.member)))
     except ValueError as error:
--- /dev/null
+++ b/tests/test_promise_process.py
@@ -0,0 +1,216 @@
+"""Real processes of the program that keep promises for each other, with faults between them and under their
+stores."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from shaletiller.lab import promise_run, scenario
+from shaletiller.lab.fleet_run import Rig
+from shaletiller.lab.gateways import LabError
+from shaletiller.lab.load import Asked, Load, Stream
+from shaletiller.lab.nodes import now_ms
+from shaletiller.net.links import Link, Links
+from shaletiller.promises.rows import META
+from shaletiller.store.files import Files
+from shaletiller.store.log import Contents
+
+SECONDS = 11.0
+ONCE = Stream("g0", 7, "free", "once", 1.0, 0.0, 1.0, write=True, keyed=True)
+
+
+@pytest.mark.parametrize("faults", ["kill-and-wipe", "cut-one-way", "full-disk"])
+def test_five_processes_keep_what_they_promise(faults: str) -> None:
+    out = asyncio.run(promise_run.run(5, SECONDS, 1, scenario.load(faults, "promises"), rate=30.0))
+    assert out.kept, "\n".join([*out.course, *out.lines(), str(out.figures)])
+    named = [each.name for each in out.guarantees]
+    assert named == ["promises lost", "second runs", "without a final answer", "refused when all is over",
+                     "staleness of the ban of n4"]
+    for stats in out.figures["stats"].values():
+        assert stats["edge.promises.filled"] == 1 and stats["edge.promises.repeated"] > 0
+
+
+def played(folder: Path, play: Callable[[Rig, Load], Awaitable[None]]) -> None:
+    """A trio of gateways with stores, and what a test does to it."""
+
+    async def run() -> None:
+        of = promise_run.rig(3, 1.0, 1, folder)
+        try:
+            await of.start()
+            await promise_run.filled(of)
+            await play(of, Load({name: process.port for name, process in of.processes.items()}, 1))
+        finally:
+            await of.stop()
+
+    asyncio.run(run())
+
+
+async def ask(load: Load, gateway: str, key: str, request: str, content: str = "") -> Asked:
+    each = Asked(now_ms(), gateway, request, ONCE, 1, 0, key, content=content)
+    await load.ask(each)
+    return each
+
+
+async def until(found: Callable[[], Awaitable[bool]], wait_s: float = 15.0) -> None:
+    last = now_ms() + wait_s * 1000
+    while not await found():
+        assert now_ms() < last, "it never came to that"
+        await asyncio.sleep(0.05)
+
+
+def test_an_operators_word_outlives_the_machine_it_was_given_at(tmp_path: Path) -> None:
+    async def play(of: Rig, load: Load) -> None:
+        g0, g1, g2 = of.processes.values()
+        assert await g0.call("DISABLE n1") == ["done n1"]
+        assert await g0.call("DRAIN") == ["done"]
+        await g0.kill()
+        g0.wipe()
+        await g0.start(of.known("g0"))
+        await until(lambda: holds(g0, "edge.ejected", 1))
+
+        async def drained() -> bool:
+            _, writer = await asyncio.open_connection("127.0.0.1", g0.port)
+            writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+            line = await _.readline()
+            writer.close()
+            return b"503" in line
+
+        await until(drained)
+        # Lifted while one is down: what that one still has in its own file does not bring it back.
+        await g2.kill()
+        assert await g1.call("ENABLE n1") == ["done n1"]
+        await g2.start(of.known("g2"))
+        await until(lambda: holds(g2, "edge.ejected", 0))
+        await until(lambda: holds(g0, "edge.ejected", 0))
+        assert await g0.call("UNDRAIN") == ["done"]
+
+    played(tmp_path, play)
+
+
+async def holds(process: object, name: str, value: int) -> bool:
+    return (await process.stats())[name] == value  # type: ignore[attr-defined,no-any-return]
+
+
+def test_without_a_majority_words_are_kept_here_only_and_copied_writes_refused(tmp_path: Path) -> None:
+    async def play(of: Rig, load: Load) -> None:
+        g0, g1, g2 = of.processes.values()
+        served = await ask(load, "g0", "k1", "00000000000000a1")
+        assert served.status == 200
+        await g1.kill()
+        await g2.kill()
+        (answer,) = await g0.call("DISABLE n1")
+        assert answer.startswith("error kept here only: no majority")
+        assert await holds(g0, "edge.ejected", 1)  # it does hold here
+        await until(lambda: holds(g0, "edge.fleet.members", 1))
+        refused = await ask(load, "g0", "k2", "00000000000000a2")
+        assert refused.status == 503
+        assert sum(attempt.key == "k2" for node in of.nodes for attempt in node.attempts) == 0
+        await g1.start(of.known("g1"))
+        await until(lambda: holds(g0, "edge.fleet.members", 2))
+        again = await ask(load, "g1", "k1", "00000000000000a3", "00000000000000a1")
+        assert (again.status, again.body) == (200, served.body)
+
+    played(tmp_path, play)
+
+
+def test_a_damaged_store_is_named_set_aside_and_filled_anew(tmp_path: Path) -> None:
+    async def play(of: Rig, load: Load) -> None:
+        g0 = of.processes["g0"]
+        served = await ask(load, "g0", "k1", "00000000000000b1")
+        await g0.kill()
+        segment = max((g0.folder / "store").glob("*.seg"))
+        spoilt = bytearray(segment.read_bytes())
+        spoilt[len(spoilt) // 2] ^= 1
+        segment.write_bytes(bytes(spoilt))
+        await g0.start(of.known("g0"))
+        await until(lambda: holds(g0, "edge.promises.filled", 1))
+        assert (await g0.stats())["edge.store.damaged"] == 1
+        assert f"damaged: {segment.name}: byte" in (g0.folder / "log.txt").read_text()
+        assert len(list(g0.folder.glob("store.damaged-*"))) == 1
+        again = await ask(load, "g0", "k1", "00000000000000b2", "00000000000000b1")
+        assert (again.status, again.body) == (200, served.body)
+
+    played(tmp_path, play)
+
+
+def test_the_node_list_that_was_kept_serves_a_start_without_discovery(tmp_path: Path) -> None:
+    async def play(of: Rig, load: Load) -> None:
+        g0, nothing = of.processes["g0"], {"version": 0, "full": True, "servers": []}
+        await until(lambda: kept(g0.folder))
+        of.discovery.silent = True
+        for wiped in (False, True):
+            await g0.kill()
+            if wiped:  # then its copies have it
+                g0.wipe()
+            await g0.start(nothing)
+            assert (await ask(load, "g0", f"k{wiped}", f"00000000000000c{wiped:d}")).status == 200
+
+    async def kept(folder: Path) -> bool:
+        return (META, b"list") in Contents(folder / "store", Files()).index
+
+    played(tmp_path, play)
+
+
+def test_a_second_process_of_one_store_is_turned_away_and_serves_what_is_not_copied(tmp_path: Path) -> None:
+    async def play(of: Rig, load: Load) -> None:
+        g0 = of.processes["g0"]
+        port, admin, first = g0.port, g0.admin_port, g0._process
+        other = type(g0)("g0", g0.folder, {
+            key: value for key, value in g0.told.items() if key not in ("listen", "admin", "name")},
+            g0._operator.read_text())
+        await other.start(of.known("g0"))
+        assert (await other.stats())["edge.store.open"] == 0
+        assert "another process has this store open" in (g0.folder / "log.txt").read_text()
+        assert first is not None and g0.alive and (port, admin) != (other.port, other.admin_port)
+        await g0.stop()
+        await until(lambda: holds(other, "edge.store.open", 1))  # it takes over
+        await until(lambda: holds(other, "edge.promises.filled", 1))
+        await other.stop()
+
+    played(tmp_path, play)
+
+
+# ---- the links, in this process
+
+def test_a_link_whose_connection_breaks_in_any_way_connects_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """uvloop answers a call on a connection that has just been reset with a RuntimeError: the link ended with
+    it, and stayed down for good."""
+
+    async def play() -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = probe.getsockname()[:2]
+        heard: asyncio.Queue[bytes] = asyncio.Queue()
+        links = Links(0, [address, ("127.0.0.1", 1)], heard.put_nowait, 1)
+        await links.start()
+        link, whole, broken = Link(address, links._links[1]._random), Link._serve, list[int]()
+
+        async def serve(self: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if not broken:
+                broken.append(1)
+                raise RuntimeError("unable to perform operation; the handler is closed")
+            await whole(self, reader, writer)
+
+        monkeypatch.setattr(Link, "_serve", serve)
+        task = asyncio.ensure_future(link.run())
+        link.send(b"after all")
+        assert await asyncio.wait_for(heard.get(), 5.0) == b"after all" and broken
+        task.cancel()
+        links.close()
+
+    asyncio.run(play())
+
+
+def test_the_lab_wipes_no_folder_of_a_process_that_runs(tmp_path: Path) -> None:
+    async def play(of: Rig, load: Load) -> None:
+        with pytest.raises(LabError, match="only while it is down"):
+            of.processes["g0"].wipe()
+
+    played(tmp_path, play)
+
+
