--- a/shaletiller/fleet/codec.py
+++ b/shaletiller/fleet/codec.py
@@ -90,6 +90,10 @@
     of_rate: Amount
     of_burst: Amount
     settle_ms: Span = 0
+    # The granter before this one, and its life, where it can lease nothing more and this one answers for what
+    # it has leased; a life of 0: none such.
+    was: Member = 0
+    was_life: Whole = 0
 
 
 class Pledge(Part, tag=7, frozen=True):
--- a/shaletiller/fleet/leases.py
+++ b/shaletiller/fleet/leases.py
@@ -18,6 +18,11 @@
 clocks need not agree, but their rates may differ by `drift` at most.  Those who give wait (1 + drift) terms,
 those who take use (1 - drift) of them.
 
+Where granters' tables are copied to further gateways (`table`; shaletiller/promises), a successor need not
+wait out its predecessor's pledges: it writes the table in its own name, so that the one before can write,
+and so lease, nothing more; it counts what that one had leased as leased by itself; and owners pledge to it
+anew at once.  A grant is then said only when the table that holds it is kept.
+
 A limit that counts what is spent in a span of `settle_ms` (the budget of a cold storage node) has what was
 lent out rest for that span before it is lent or spent again: what was spent at the last moment still counts
 in it.
@@ -36,6 +41,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from shaletiller.fleet.codec import Call, Grant, Known, Pledge, Want
 from shaletiller.fleet.rendezvous import chosen
@@ -46,6 +52,8 @@
 SPARE = 1.25  # a member keeps, or asks for, so many times what it was asked for
 KEEP = 0.02  # of its own part an idle member keeps so much: the first request of a surge need not wait
 MEMBERS_A_TERM = 20  # as many members a granter may ask in the shortest term
+CLOCKS_MS = 1_000.0  # by how much two gateways' clocks may differ where tables are copied
+BEFORE = -1  # the holder under which a granter files what the one before it had leased
 IDLE_TERMS = 8  # a limit that nobody has asked for is forgotten after so many terms
 
 
@@ -96,6 +104,13 @@
     granted: dict[int, Steps] = field(default_factory=dict)
     called: dict[int, float] = field(default_factory=dict)
     wanted_ms: float = -math.inf
+    # Where tables are copied: whether this granter's stands, who was granter before, and the grants that wait
+    # for the table that holds them, and for the one after.
+    stands: bool = False
+    asking: bool = False
+    was: tuple[int, int] = (0, 0)
+    writing: list[tuple[int, Grant]] = field(default_factory=list)
+    next: list[tuple[int, Grant]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -119,6 +134,16 @@
     window: deque[tuple[float, float]] = field(default_factory=deque)  # asked in the last `settle_ms`
 
 
+class Table(Protocol):
+    """Keeps what granters have leased, at further gateways; answers by `Leases.stands` and `Leases.kept`."""
+
+    def take_over(self, limit: str) -> None:
+        """Write the limit's table in this granter's name."""
+
+    def write(self, limit: str, leased: Amount) -> None:
+        """All that this granter has leased of a limit."""
+
+
 class Leases:
     """One member's ledgers, and the pools of the limits that it grants.
 
@@ -141,6 +166,7 @@
         self._nonce = 0
         self._sent: dict[int, float] = {}  # when the request of a nonce went out, by this member's clock
         self.stopped = False
+        self.table: Table | None = None
 
     # ---- what a member may spend
 
@@ -278,7 +304,8 @@
             if now_ms - ledger.touched_ms > idle_ms and not ledger.pledged.steps and not ledger.held.steps:
                 del self._ledgers[limit]
         for limit, pool in list(self._pools.items()):
-            self._collect(limit, pool, now_ms)
+            if self.table is None or pool.stands:
+                self._collect(limit, pool, now_ms)
             if now_ms - pool.wanted_ms > idle_ms:
                 del self._pools[limit]
 
@@ -304,6 +331,9 @@
             pool = self._pools[part.limit] = _Pool(of, float(part.settle_ms))
         pool.wants[sender] = from_wire(part.rate, part.burst), now_ms
         pool.wanted_ms = now_ms
+        if self.table is not None and not pool.stands:
+            self._take_over(part.limit, pool)
+            return
         self._collect(part.limit, pool, now_ms)
         amount = self._allot(pool, sender, now_ms)
         if amount != NOTHING:
@@ -312,7 +342,53 @@
             steps.forget(now_ms)
             rate, burst = to_wire(amount)
             steps.add(self._lease_end(now_ms) + pool.settle_ms, from_wire(rate, burst))
-            self._say(sender, Grant(part.limit, part.nonce, rate, burst, span_ms))
+            grant = Grant(part.limit, part.nonce, rate, burst, span_ms)
+            if self.table is None:
+                self._say(sender, grant)
+            else:
+                pool.next.append((sender, grant))
+                self._write(part.limit, pool, now_ms)
+
+    # ---- the granter's table, where it is copied
+
+    def _take_over(self, limit: str, pool: _Pool) -> None:
+        if self.table is not None and not pool.asking and self.granter(limit) == self.me:
+            pool.asking = True
+            self.table.take_over(limit)
+
+    def stands(
+        self, limit: str, was: tuple[int, int] | None, leased: Amount, at_ms: float, now_ms: float,
+    ) -> None:
+        """The table is this granter's: `was` (member and life) before it, who had leased so much by `at_ms`
+        of its own clock and leases nothing more.  None where nothing was known: then owners' pledges to
+        another are waited out.  Here, and nowhere else, two clocks are compared: they are to be within
+        `CLOCKS_MS`."""
+        pool = self._pools.get(limit)
+        if pool is None:
+            return
+        pool.asking, pool.stands, pool.was = False, True, was or (0, 0)
+        end_ms = min(self._lease_end(now_ms), self._lease_end(at_ms + CLOCKS_MS)) + pool.settle_ms
+        pool.granted.setdefault(BEFORE, Steps()).add(end_ms, leased)
+        self._collect(limit, pool, now_ms)
+
+    def kept(self, limit: str, made: bool, now_ms: float) -> None:
+        """The table that was written last is kept; or it is another's by now, and nothing more is leased
+        until it is this granter's again."""
+        pool = self._pools.get(limit)
+        if pool is None:
+            return
+        said, pool.writing = pool.writing, []
+        if not made:
+            pool.stands, pool.asking, pool.next = False, False, []
+            return
+        for sender, grant in said:
+            self._say(sender, grant)
+        self._write(limit, pool, now_ms)
+
+    def _write(self, limit: str, pool: _Pool, now_ms: float) -> None:
+        if self.table is not None and pool.next and not pool.writing:
+            pool.writing, pool.next = pool.next, []
+            self.table.write(limit, self._sum(pool.granted, now_ms))
 
     def _lease_end(self, now_ms: float) -> float:
         """When a lease given now is over for certain, by this member's clock."""
@@ -367,7 +443,8 @@
             called_ms = pool.called.get(owner, -math.inf)
             if steps.last_end() < due_ms and now_ms - called_ms >= self.terms.round_ms:
                 pool.called[owner] = now_ms
-                self._say(owner, Call(limit, self._next(now_ms), *to_wire(pool.of), int(pool.settle_ms)))
+                self._say(owner, Call(
+                    limit, self._next(now_ms), *to_wire(pool.of), int(pool.settle_ms), *pool.was))
 
     @staticmethod
     def _last(pool: _Pool, owner: int) -> Amount:
@@ -383,7 +460,9 @@
         ledger.touched_ms = now_ms
         if self.stopped or now_ms < ledger.quiet_until_ms:
             return
-        if not self._may_pledge(ledger, (granter, life), now_ms) or self.granter(part.limit) != granter:
+        fenced = part.was_life > 0 and ledger.to == (part.was, part.was_life)
+        may = fenced or self._may_pledge(ledger, (granter, life), now_ms)
+        if not may or self.granter(part.limit) != granter:
             return
         spent = self._in_span(ledger, now_ms)
         keep = Amount(KEEP * ledger.own.rate, max(spent, min(ledger.most, ledger.own.burst)))
--- a/shaletiller/fleet/membership.py
+++ b/shaletiller/fleet/membership.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 import random
 from collections.abc import Callable
@@ -93,6 +94,7 @@
         self.digest: Callable[[], int] = lambda: 0
         self._random = random.Random(seed)
         self._say, self._spread, self._moved = say, spread, moved
+        self._there = [me]  # in order
         self._alive: tuple[int, ...] | None = None
         self._suspects: set[int] = set()
         self._line: list[int] = []
@@ -110,7 +112,7 @@
     def alive(self) -> tuple[int, ...]:
         """The members that are there, this one too, suspected ones too; the same object until it changes."""
         if self._alive is None:
-            self._alive = tuple(sorted([self.me, *(n for n in self.peers if self.is_alive(n))]))
+            self._alive = tuple(self._there)
         return self._alive
 
     def is_alive(self, member: int) -> bool:
@@ -249,7 +251,12 @@
         before = peer.state
         reborn = life > peer.life
         peer.state, peer.life, peer.refuted = state, life, refuted
-        self._alive = None
+        if self.is_alive(member) != (State.ALIVE <= before <= State.SUSPECT):
+            self._alive = None
+            if self.is_alive(member):
+                bisect.insort(self._there, member)
+            else:
+                self._there.remove(member)
         (self._suspects.add if state is State.SUSPECT else self._suspects.discard)(member)
         peer.until_ms = now_ms + self.timing.suspect_ms if state is State.SUSPECT else math.inf
         self._spread(Rumor(member, state, life, refuted))
--- a/shaletiller/lab/fleet_run.py
+++ b/shaletiller/lab/fleet_run.py
@@ -35,6 +35,14 @@
 SHARDS = 3  # of the limited volume; there is one more, whose node operators take out
 SHORTEST_MS = 6_000.0  # a use is told of no shorter time: a burst at either end would count too much
 SURGES = 0.33, 0.54  # parts of the run between which the other gateways have surges
+TABLES = """store {
+    dir "FOLDER/store"
+}
+promises {
+    on true
+    lease-tables true
+}
+"""
 SETTINGS: dict[str, Any] = {
     "tick-ms": 2.0, "discovery": "automatic",
     "classes": [
@@ -158,8 +166,11 @@
         asked_ms = now_ms()  # an ENABLE may hold elsewhere before it is answered here
         via = self.processes[self.who(str(fault.options["via"]))]
         answer = (await via.call(f"{fault.verb.upper()} {fault.args[0]}"))[0]
-        if not answer.startswith("done"):
+        kept_here = answer.startswith("error kept here only")  # it holds, and is promised to nobody
+        if not answer.startswith("done") and not kept_here:
             raise LabError(f"{via.name}: {fault}: {answer}")
+        if fault.verb == "disable" and kept_here:
+            return
         if fault.verb == "disable":
             self.bans.append((fault.args[0], now_ms(), float("inf")))
         else:
@@ -207,11 +218,12 @@
 
 async def run(
     gateways: int, seconds: float, seed: int, scenario: Scenario, carrier: str = "datagrams",
-    folder: Path | None = None,
+    folder: Path | None = None, tables: bool = False,
 ) -> Outcome:
-    """One run and its verdict."""
+    """One run and its verdict; `tables`: with granters' tables copied."""
     with tempfile.TemporaryDirectory() as made:
-        rig = Rig(gateways, seed, seconds, folder or Path(made), carrier)
+        operator = TABLES if tables else ""
+        rig = Rig(gateways, seed, seconds, folder or Path(made), carrier, operator=operator)
         load = Load({}, seed)
         try:
             await rig.start()
--- a/shaletiller/lab/virtual.py
+++ b/shaletiller/lab/virtual.py
@@ -26,6 +26,7 @@
 
 EPOCH_MS = 1_764_000_000_000.0
 TICK_MS = 25.0
+TABLE_MS = 10.0  # a copied table is written, and its answer back, within that
 
 
 @dataclass(slots=True)
@@ -106,6 +107,9 @@
         now_ms = self.clock()
         seed = self.world.seed * 1000 + self.lives
         self.fleet = self.world.make(self.number, now_ms, self, seed)
+        self.world.lives[self.number, self.lives] = self.fleet.life
+        if self.world.tables:
+            self.fleet.leases.table = self
         life = self.lives
         # Members' ticks are out of step with each other.
         first_ms = self.world.time.now_ms + self.world.random.uniform(0, TICK_MS)
@@ -157,6 +161,51 @@
     def member(self, member: int, before: State, after: State) -> None:
         self.world.moves.append((self.world.time.now_ms, self.number, member, after))
 
+    # ---- its granters' tables (fleet.leases.Table)
+
+    def take_over(self, limit: str) -> None:
+        me, life = self.number, self.lives
+
+        def done() -> None:
+            before = self.world.table_of.get(limit)
+            held = before[2:] if before is not None else (NOTHING, 0.0)
+            self.world.table_of[limit] = me, life, *held
+            was = (before[0], self.world.fleet_life(before[0], before[1])) if before is not None else None
+            self._after_table(life, lambda fleet: fleet.leases.stands(
+                limit, was, *held, self.clock()))
+
+        self._register(limit, life, done)
+
+    def write(self, limit: str, leased: Amount) -> None:
+        life, asked_ms = self.lives, self.clock()
+
+        def done() -> None:
+            before = self.world.table_of.get(limit)
+            made = before is not None and before[:2] == (self.number, life)
+            if made:
+                self.world.table_of[limit] = self.number, life, leased, asked_ms
+            self._after_table(life, lambda fleet: fleet.leases.kept(limit, made, self.clock()))
+
+        self._register(limit, life, done)
+
+    def _register(self, limit: str, life: int, done: Callable[[], None]) -> None:
+        """Its write reaches the register after a while, or never: then it is not kept."""
+        cut = sum(link.cut for (a, b), link in self.world.links.items() if self.number in (a, b))
+        at_ms = self.world.time.now_ms + self.world.random.uniform(1.0, TABLE_MS)
+        if cut >= self.world.members - 1:
+            self.world.time.at(at_ms, lambda: self._after_table(
+                life, lambda fleet: fleet.leases.kept(limit, False, self.clock())))
+        else:
+            self.world.time.at(at_ms, done)
+
+    def _after_table(self, life: int, call: Callable[[Fleet], None]) -> None:
+        """The answer comes back later than the write: meanwhile another may have taken over."""
+        def come() -> None:
+            if life == self.lives:
+                self._handle(lambda: call(self.fleet) if self.fleet is not None else None)
+
+        self.world.time.at(self.world.time.now_ms + self.world.random.uniform(1.0, TABLE_MS), come)
+
     # ---- what comes to it
 
     def receive(self, data: bytes) -> None:
@@ -213,6 +262,11 @@
     limits: dict[str, Limit] = field(default_factory=dict)
     sent: int = 0
     sent_bytes: int = 0
+    # Whether granters' tables are copied: here to a register for each limit that takes a while to write, is
+    # written by the one alone that wrote it last, or took it over, and is out of reach for who is cut off.
+    tables: bool = False
+    lives: dict[tuple[int, int], int] = field(default_factory=dict)
+    table_of: dict[str, tuple[int, int, Amount, float]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
@@ -224,6 +278,10 @@
             Member(self, number, *(self.random.uniform(-1, 1) * most for most in (self.drift, self.skew_ms)))
             for number in range(self.members)]
 
+    def fleet_life(self, member: int, number: int) -> int:
+        """The life that a member's process of this number had."""
+        return self.lives[member, number]
+
     def make(self, number: int, now_ms: float, outlet: Member, seed: int) -> Fleet:
         return Fleet(number, self.names, now_ms, self.options, outlet, seed)
 
--- a/shaletiller/net/fleet.py
+++ b/shaletiller/net/fleet.py
@@ -37,12 +37,19 @@
         self.liaison = Liaison(
             me, names, clock.now_ms(), config.settings, options,
             {limit.name: limit.policy for limit in part.limit}, self.send, engine.decide, self._ban,
-            engine.renew, config.seed, part.name, part.cold_budgets)
+            engine.renew, config.seed, self._fleet_name(config, part), part.cold_budgets)
         if part.carrier == "tcp":
             addresses = [read_address(each.address, f"fleet.member {each.name}") for each in part.member]
             self._links = Links(me, addresses, self.receive, config.seed)
         engine.precede = self.liaison.precede
 
+    @staticmethod
+    def _fleet_name(config: Config, part: FleetPart) -> str:
+        """Gateways that copy their tables lend by other rules than those that do not: two fleets."""
+        promises = config.operator.promises if config.operator is not None else None
+        tables = promises is not None and promises.on and promises.lease_tables
+        return f"{part.name}+tables" if tables else part.name
+
     @staticmethod
     def _members(config: Config, part: FleetPart) -> tuple[list[str], int]:
         if part.carrier == "datagrams":
--- a/shaletiller/net/promises.py
+++ b/shaletiller/net/promises.py
@@ -18,6 +18,7 @@
 from shaletiller.core.model import Verdict as Final
 from shaletiller.fleet.codec import Verdict
 from shaletiller.fleet.core import group_of
+from shaletiller.fleet.shares import NOTHING, Amount, from_wire, to_wire
 from shaletiller.fleet.verdicts import LONGEST_MS, Kind
 from shaletiller.log import log
 from shaletiller.net.fleet import FleetPort
@@ -25,8 +26,8 @@
 from shaletiller.promises.core import Keep, Promises, Send
 from shaletiller.promises.groups import Groups
 from shaletiller.promises.messages import Codec
-from shaletiller.promises.proposer import Done, Expect
-from shaletiller.promises.rows import META, Listed, Word, pack, read_says
+from shaletiller.promises.proposer import Done, Expect, Held
+from shaletiller.promises.rows import META, Leased, Listed, Word, pack, read_says
 from shaletiller.promises.writes import NO_MAJORITY_MS, Decision, What, Writes
 from shaletiller.store.files import Drilled, Files, Locked
 from shaletiller.store.format import Damaged
@@ -40,7 +41,9 @@
 LOCKED_S = 0.1  # how often a store that the process before still has is tried
 MOST_KEY = 400
 LIST_KEY = b"list"
-BAN, DRAIN, LIST = "ban:", "drain:", "list:"
+TABLE_MS = 400.0  # a granter's table that is not kept by then holds no grant
+TABLE_KEPT_MS = 600_000.0  # longer than any pledge
+BAN, DRAIN, LIST, LEASE = "ban:", "drain:", "list:", "lease:"
 
 
 class KeptHere(Exception):
@@ -71,7 +74,7 @@
         self._quick = False
         self.keeper: Keeper | None = None
         self.damaged = ""
-        self._filled = False
+        self._table_number = 0
         self._list: ServerList | None = None
         self._list_kept = b""
         self._list_ms = 0.0
@@ -79,6 +82,9 @@
         # Told once this gateway knows what its copies hold: a list that it had, and whether it is drained.
         self.listed: Callable[[ServerList], None] = lambda kept: None
         self.drained: Callable[[bool], None] = lambda drained: None
+        self._tables: dict[str, tuple[bytes, Held | None]] = {}  # of the limits granted here: the last kept
+        if part.lease_tables:
+            members.leases.table = self
         engine.vow = self._vow
         fleet.heard_promises = self._heard
 
@@ -148,7 +154,6 @@
         says = read_says(done.value)
         if isinstance(says, Listed):
             self._take_list(says.raw)
-        self._filled = True
 
     def _tell_words(self) -> None:
         now_ms = self._clock.now_ms()
@@ -210,10 +215,14 @@
 
         self.keeper.keep(keep.rows, done)
 
-    async def _ask(self, key: str, expect: Expect, value: bytes, wait_ms: float) -> Done:
+    async def _ask(
+        self, key: str, expect: Expect, value: bytes, wait_ms: float, expected: bytes = b"",
+        held: Held | None = None, keep_ms: float = YEAR_MS,
+    ) -> Done:
         now_ms = self._clock.now_ms()
         wait: asyncio.Future[Done] = asyncio.get_running_loop().create_future()
-        op = self.promises.ask(key, expect, value, now_ms + YEAR_MS, now_ms + wait_ms, now_ms)
+        op = self.promises.ask(
+            key, expect, value, now_ms + keep_ms, now_ms + wait_ms, now_ms, expected, held)
         self._waits[op] = wait
         self._guarded(lambda: None)
         return await wait
@@ -287,6 +296,45 @@
         if not done.kept and done.unknown:
             raise KeptHere
 
+    # ---- granters' tables (fleet.leases.Table)
+
+    def take_over(self, limit: str) -> None:
+        self._engine.spawn(self._take_over(limit))
+
+    async def _take_over(self, limit: str) -> None:
+        key, now_ms = f"{LEASE}{limit}", self._clock.now_ms
+        before = await self._ask(key, Expect.NEVER, b"", TABLE_MS)
+        done = before
+        if not before.unknown:
+            says = read_says(before.value)
+            was = says if isinstance(says, Leased) else None
+            mine = self._table(was.rate, was.burst, was.at) if was else self._table(0, 0, 0)
+            expect = Expect.THIS if before.value else Expect.FREE
+            done = await self._ask(key, expect, mine, TABLE_MS, before.value, keep_ms=TABLE_KEPT_MS)
+            if done.kept:
+                self._tables[limit] = mine, done.held
+                leased = from_wire(was.rate, was.burst) if was else NOTHING
+                self._members.leases.stands(
+                    limit, (was.by, was.life) if was else None, leased, was.at if was else 0.0, now_ms())
+        if not done.kept:
+            self._members.leases.kept(limit, False, now_ms())
+
+    def write(self, limit: str, leased: Amount) -> None:
+        self._engine.spawn(self._write(limit, *to_wire(leased)))
+
+    async def _write(self, limit: str, rate: int, burst: int) -> None:
+        before, held = self._tables.pop(limit, (b"", None))
+        mine = self._table(rate, burst, int(self._clock.now_ms()))
+        done = await self._ask(
+            f"{LEASE}{limit}", Expect.THIS, mine, TABLE_MS, before, held, keep_ms=TABLE_KEPT_MS)
+        if done.kept:
+            self._tables[limit] = mine, done.held
+        self._members.leases.kept(limit, done.kept, self._clock.now_ms())
+
+    def _table(self, rate: int, burst: int, at_ms: int) -> bytes:
+        self._table_number += 1
+        return pack(Leased(self._me, self._members.life, self._table_number, at_ms, rate, burst))
+
     # ---- the node list
 
     def news(self, whole: ServerList) -> None:
--- a/shaletiller/operator_file.py
+++ b/shaletiller/operator_file.py
@@ -109,6 +109,7 @@
     copies: Annotated[int, msgspec.Meta(ge=1, le=7)] = 3
     keep_s: Positive = 86_400.0  # how long the outcome of a write is known
     repair_bytes_a_second: Positive = 4_000_000.0
+    lease_tables: bool = False  # whether granters' tables are copied; the same at all gateways
 
 
 class OperatorFile(Group, frozen=True):
--- a/shaletiller/promises/rows.py
+++ b/shaletiller/promises/rows.py
@@ -84,7 +84,19 @@
     raw: bytes
 
 
-Says = Intent | Outcome | Word | Listed
+class Leased(Saying, tag=5, frozen=True):
+    """What a limit's granter has leased in all (thousandths of units a second and of units), as of its
+    `number`th table, by the time `at` of its clock."""
+
+    by: Member
+    life: Whole
+    number: Whole
+    at: Whole
+    rate: Whole
+    burst: Whole
+
+
+Says = Intent | Outcome | Word | Listed | Leased
 _ENCODER = msgspec.msgpack.Encoder()
 _SAYS = msgspec.msgpack.Decoder(Says)
 _ROW = msgspec.msgpack.Decoder(Row)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,6 +20,8 @@
 from shaletiller.fleet.rendezvous import chosen, ranked
 from shaletiller.fleet.shares import NOTHING, Amount, Share, ShareStore, Steps
 from shaletiller.fleet.verdicts import Kind, Verdicts, key_of
+from shaletiller.lab.schedules import play
+from shaletiller.lab.virtual import World
 
 GROUP, LIFE = 77, 1_700_000_000_000
 WORD = Verdict("s-1", Kind.DEAD, 2, 5, stamp_of(LIFE), LIFE + 60_000, 1)
@@ -89,7 +91,7 @@
 
     fleet = Fleet(0, ["a", "b", "c"], LIFE, Options(messages_a_second=1000.0), Out())
     for number in range(60):
-        fleet.membership.peers[1 + number % 2].state = State.ALIVE
+        fleet.membership.heard(1 + number % 2, LIFE, LIFE + number)
         fleet.observe(f"s-{'x' * (number % 40)}{number}", Kind.SLOW, 1, number + 1, 5_000, LIFE + number)
         fleet.tick(LIFE + number * 30)
     assert len(sent) > 50
@@ -482,3 +484,63 @@
         Fleet(3, ["a", "b"], LIFE, Options(), None)  # type: ignore[arg-type]
     assert group_of("x", ["a", "b"]) != group_of("x", ["a", "c"])
     assert key_of(WORD) == ("s-1", 2, 2)
+
+
+# ---- granters' tables that are copied
+
+class Register:
+    """A table at further gateways, written when the test says so."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[str, Amount | None]] = []
+
+    def take_over(self, limit: str) -> None:
+        self.asked.append((limit, None))
+
+    def write(self, limit: str, leased: Amount) -> None:
+        self.asked.append((limit, leased))
+
+
+def test_a_grant_is_said_only_when_the_table_that_holds_it_is_kept() -> None:
+    me = granter_of((0, 1, 2))
+    owner, holder = (n for n in (0, 1, 2) if n != me)
+    desk, register = Desk(me=me, members=3, alive=(0, 1, 2)), Register()
+    desk.leases.table = register
+    want = Want("v:1", 1, 90_000, 36_000, 100_000, 40_000)
+    desk.leases.take(holder, 9, want, 10_000.0)
+    assert register.asked == [("v:1", None)] and not desk.said  # nobody is called before the table stands
+    desk.leases.stands("v:1", (owner, 7), Amount(10.0, 4.0), 10_000.0, 10_020.0)
+    call = next(part for to, part in desk.said if isinstance(part, Call) and to == owner)
+    assert (call.was, call.was_life) == (owner, 7)
+    desk.leases.take(owner, 9, Pledge("v:1", call.nonce, 30_000, 12_000, 2_000), 10_050.0)
+    desk.leases.take(holder, 9, want, 10_100.0)
+    assert not [part for _, part in desk.said if isinstance(part, Grant)]
+    # What the one before had leased is taken off, and stands in the table beside what is leased now.
+    assert register.asked[-1] == ("v:1", Amount(30.0, 12.0))
+    desk.leases.kept("v:1", True, 10_120.0)
+    grant, = (part for _, part in desk.said if isinstance(part, Grant))
+    assert (grant.rate, grant.burst) == (20_000, 8_000)
+    desk.leases.take(holder, 9, want, 10_150.0)
+    desk.leases.kept("v:1", False, 10_170.0)  # another has taken over: this grant is never said
+    assert len([part for _, part in desk.said if isinstance(part, Grant)]) == 1
+
+
+def test_an_owner_pledges_at_once_to_a_successor_that_has_fenced_the_granter_before() -> None:
+    granter = granter_of((0, 1, 2))
+    others = tuple(n for n in (0, 1, 2) if n != granter)
+    successor = granter_of(others)
+    me = next(n for n in others if n != successor)
+    desk = Desk(me=me, members=3, alive=(0, 1, 2))
+    assert desk.call(granter, 9, 10_000.0)
+    desk.there = tuple(sorted(others))
+    for was, was_life, pledges in ((granter, 8, 0), (successor, 9, 0), (granter, 9, 1)):
+        before = len(desk.said)
+        call = Call("v:1", 5, 100_000, 40_000, 0, was, was_life)
+        desk.leases.take(successor, 4, call, 10_500.0)
+        assert len(desk.said) - before == pledges
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_schedules_with_copied_tables_pass_no_strict_limit(seed: int) -> None:
+    seen = play(seed, world=World(5, seed, tables=True))
+    assert not [each for each in seen.broken if "limit" in each and "use" not in each], seen.broken
