Tell operators' words after a start with the stamps they had; ask the group before refusing for want of one

A gateway whose store was gone told the bans of its own file anew, with a new stamp, and so brought back what had been lifted while it was down: with promises on, its copies' words go first. And a copied write just after a start was refused though its group was there and only had not been heard yet.

--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -56,7 +56,6 @@
         self.front = HttpFront(
             self.engine, config.front_sockets, lambda: self.discovery.held, self._clock)
         self.fleet = self._fleet_port()
-        self.promises = self._promise_port()
         self.peers = Peers(config.peers, config.peers_all, self._heard,
                            self.fleet.receive if self.fleet is not None else None)
         self.engine.tell = self.peers.tell
@@ -68,6 +67,7 @@
         self.sighup = {"applied": 0, "rejected": 0}
         bans = Path(config.state_dir) / f"shaletiller-{config.name or 'gateway'}-bans.json"
         self.bans = Bans(bans, lambda moved: self.engine.ban(self.bans.held, moved))
+        self.promises = self._promise_port()
         self.admin = Admin({
             "READY": self._ready, "STATS": self._stats, "DISABLE": self._disable, "ENABLE": self._enable,
             "DRAIN": lambda words: self._drain(True), "UNDRAIN": lambda words: self._drain(False),
@@ -96,7 +96,7 @@
             return None
         from shaletiller.net.promises import PromisePort
 
-        port = PromisePort(operator, self.fleet, self.engine, self._clock, self.config.name)
+        port = PromisePort(operator, self.fleet, self.engine, self._clock, self.config.name, self.bans)
         port.listed = self._listed
         port.drained = self.front.drain
         self.discovery.news = port.news
@@ -205,8 +205,7 @@
         if self.config.settings.may_tell and self.config.peer_listen is not None:
             await self.peers.start(self.config.peer_listen)
         if self.fleet is not None:
-            known = self.promises.banned() if self.promises is not None else {}
-            await self.fleet.start(self.peers, self.bans, known)
+            await self.fleet.start(self.peers, self.bans, tell=self.promises is None)
         if self.promises is not None:
             await self.promises.start()
         self.front.start(*self.config.listen)
--- a/shaletiller/net/fleet.py
+++ b/shaletiller/net/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from shaletiller.clock import Clock, Timer
 from shaletiller.config import Config, ConfigError, read_address
@@ -60,13 +60,13 @@
         names = [member.name for member in part.member]
         return names, names.index(part.me or config.name)
 
-    async def start(self, peers: Peers, bans: Bans, known: Collection[str] = ()) -> None:
-        """`known`: nodes of which a store holds the operators' words, which go before those of the file."""
+    async def start(self, peers: Peers, bans: Bans, tell: bool = True) -> None:
+        """`tell`: the others hear of the nodes that the process before this one took out."""
         self._peers, self._bans = peers, bans
         if self._links is not None:
             await self._links.start()
         now_ms = self._clock.now_ms()
-        for node in sorted(bans.held - set(known)):  # what the process before this one took out
+        for node in sorted(bans.held) if tell else ():
             self.liaison.ban(node, True, now_ms)
         self._tick()
         fleet = self.liaison.fleet
--- a/shaletiller/net/promises.py
+++ b/shaletiller/net/promises.py
@@ -13,11 +13,13 @@
 
 from shaletiller.clock import Clock, Timer
 from shaletiller.config import ServerList
+from shaletiller.core.bans import Bans
 from shaletiller.core.engine import Engine
 from shaletiller.core.model import Answer, Call, Exchange
 from shaletiller.core.model import Verdict as Final
 from shaletiller.fleet.codec import Verdict
 from shaletiller.fleet.core import group_of
+from shaletiller.fleet.membership import State
 from shaletiller.fleet.shares import NOTHING, Amount, from_wire, to_wire
 from shaletiller.fleet.verdicts import LONGEST_MS, Kind
 from shaletiller.log import log
@@ -55,10 +57,11 @@
 
     def __init__(
         self, operator: OperatorFile, fleet: FleetPort, engine: Engine, clock: Clock, name: str,
+        bans: Bans,
     ) -> None:
         part = operator.promises
         self._clock, self._engine, self._fleet, self._name = clock, engine, fleet, name
-        self._operator = operator
+        self._operator, self._bans = operator, bans
         members = fleet.liaison.fleet
         groups = Groups([row.zone for row in operator.fleet.member], part.copies)
         self._me, self._members = members.me, members
@@ -146,6 +149,9 @@
             await asyncio.sleep(IDLE_TICK_MS / 1000)
         log("promises: filled, votes on all its keys")
         self._tell_words()
+        for node in sorted(self._bans.held - self.banned().keys()):
+            # Taken out by the process before this one, and kept here only.
+            self._fleet.liaison.ban(node, True, self._clock.now_ms())
         done = await self._ask(f"{DRAIN}{self._name}", Expect.NEVER, b"", 30_000.0)
         says = read_says(done.value)
         if isinstance(says, Word):
@@ -156,8 +162,12 @@
             self._take_list(says.raw)
 
     def _tell_words(self) -> None:
+        """The words of which there are copies here, with the stamps that they had; they go before what the
+        process before this one left in its file."""
         now_ms = self._clock.now_ms()
         for node, word in self.banned().items():
+            if not word.out and node in self._bans.held:
+                self._bans.remove(node)
             until = int(min(word.until, now_ms + LONGEST_MS / 2))
             self._fleet.liaison.restore(
                 Verdict(node, int(Kind.BAN), word.by, 0, word.stamp, until, int(word.out)))
@@ -234,9 +244,10 @@
         if call.service not in self._copied or not call.write:
             return False
         key = key_of(call)
-        alive = set(self._members.membership.alive())
-        groups = self.promises.groups
-        if len(alive & set(groups.of(key))) < groups.majority:
+        groups, peers = self.promises.groups, self._members.membership.peers
+        # One that has not been heard yet may be there: just after a start nobody has.
+        gone = sum(n != self._me and peers[n].state is State.DEAD for n in groups.of(key))
+        if groups.copies - gone < groups.majority:
             self.writes.counts["no_majority"] += 1
             self._engine.relay(exchange, Answer(Final.REFUSED, retry_in_ms=NO_MAJORITY_MS))
             return True
--- a/shaletiller/promises/writes.py
+++ b/shaletiller/promises/writes.py
@@ -49,6 +49,7 @@
     mark: int
     ends_ms: float
     phase: Literal["claim", "out", "settle"] = "claim"
+    op: int = 0  # the one that it waits for
     held: Held | None = None
     intent: bytes = b""
     body: bytes = b""
@@ -80,8 +81,8 @@
         intent = pack(Intent(self._promises.me, self._process, number, mark, int(now_ms), int(deadline_ms)))
         write = self._writes[number] = _Write(number, key, mark, deadline_ms, intent=intent)
         last_ms = now_ms + min(CLAIM_MS, CLAIM_PART * (deadline_ms - now_ms))
-        op = self._promises.ask(key, Expect.FREE, intent, self._until(now_ms), last_ms, now_ms)
-        self._ops[op] = write.number
+        self._wait(write, self._promises.ask(
+            key, Expect.FREE, intent, self._until(now_ms), last_ms, now_ms))
 
     def end(self, number: int, what: What, body: bytes, now_ms: float) -> None:
         """What has become of a write that went out: `served` with the node's answer, which is told to the
@@ -96,7 +97,7 @@
         elif what == "served":
             write.phase, write.body = "settle", body
             value = pack(Outcome(True, body, write.mark, int(now_ms)))
-            self._ops[self._put(write, value, write.ends_ms, now_ms)] = number
+            self._wait(write, self._put(write, value, write.ends_ms, now_ms))
         else:
             self._drop(write)
             value = b"" if what == "refused" else pack(Outcome(False, b"", write.mark, int(now_ms)))
@@ -113,9 +114,13 @@
         self._promises.ask(write.key, Expect.THIS, b"", self._until(now_ms), now_ms + BESIDE_MS, now_ms,
                            write.intent, write.held)
 
+    def _wait(self, write: _Write, op: int) -> None:
+        write.op = op
+        self._ops[op] = write.number
+
     def _drop(self, write: _Write) -> None:
         self._writes.pop(write.number, None)
-        self._ops = {op: number for op, number in self._ops.items() if number != write.number}
+        self._ops.pop(write.op, None)
 
     # ---- from the copies
 
--- a/tests/test_promise_process.py
+++ b/tests/test_promise_process.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -88,6 +89,16 @@
         await until(lambda: holds(g2, "edge.ejected", 0))
         await until(lambda: holds(g0, "edge.ejected", 0))
         assert await g0.call("UNDRAIN") == ["done"]
+        # Nor what stands in the file of one whose store is gone.
+        assert await g0.call("DISABLE n2") == ["done n2"]
+        await until(lambda: holds(g1, "edge.ejected", 1))
+        await g1.kill()
+        assert await g0.call("ENABLE n2") == ["done n2"]
+        shutil.rmtree(g1.folder / "store")
+        await g1.start(of.known("g1"))
+        await until(lambda: holds(g1, "edge.promises.filled", 1))
+        for process in (g1, g0, g2):
+            await until(lambda process=process: holds(process, "edge.ejected", 0))  # type: ignore[misc]
 
     played(tmp_path, play)
 
