Node lists with sources and age, others' news of departures, and a laboratory whose discovery fails

Need: a gateway that discovery does not serve worked from the list it was given; an empty list by mistake stopped all work. shaletiller/nodes: a book of what each source told of each node, and when; a list that takes most nodes away is taken only when a second call says the same; an older version brings nobody back. Over the fleet a drain or departure that one gateway's list names takes the node out at all, by version; nothing heard adds a node or an address.

--- a/shaletiller/fleet/liaison.py
+++ b/shaletiller/fleet/liaison.py
@@ -17,7 +17,7 @@
 from shaletiller.fleet.core import Fleet, Options
 from shaletiller.fleet.membership import State
 from shaletiller.fleet.shares import NOTHING, Amount, Share
-from shaletiller.fleet.verdicts import Kind
+from shaletiller.fleet.verdicts import Departs, Kind
 
 Policy = Literal["strict", "available"]
 FAILURES = 3  # so many attempts in a row that find nothing make a node seem gone
@@ -27,6 +27,7 @@
 SLOW_TIMES = 4.0  # a node is slow whose lag is so many times the usual one here
 BAN_MS = 24 * 3600_000.0  # an operator's word; it is renewed as long as most of the fleet is there
 LAG_PART = 0.1
+LEAVING_MS = 600_000.0  # how long what the node list said of a life is passed on
 
 
 @dataclass(slots=True)
@@ -64,6 +65,8 @@
         self._usual_ms = 0.0
         self._now = now_ms
         self._banned: frozenset[str] = frozenset()
+        # Told what another gateway's list says of a node: node, life, the list's version, what.
+        self.departs: Callable[[str, int, int, Departs], None] = lambda node, life, version, what: None
         self.fleet = Fleet(me, names, now_ms, options, self, seed, name)
 
     # ---- what the gateway shows
@@ -154,6 +157,13 @@
         self._banned = self._banned | {node} if out else self._banned - {node}
         self.fleet.observe(node, Kind.BAN, 0, 1 if out else 0, BAN_MS, now_ms)
 
+    def listed(self, node: str, life: int, version: int, what: Departs, now_ms: float) -> None:
+        """This gateway's own list says so of a node: it is passed on where it is news."""
+        self._now = now_ms
+        value, known = version * 4 + what, self.fleet.verdicts.leaving(node)
+        if known is None or (known.life, known.value) < (life, value):
+            self.fleet.observe(node, Kind.LEAVING, life, value, LEAVING_MS, now_ms)
+
     def restore(self, word: Verdict) -> None:
         """An operator's word as it was kept: with the stamp that it had, so that a newer one stands."""
         self.fleet.verdicts.take(word, self._now)
@@ -196,6 +206,11 @@
             if known is not None and found is not None and found.life > known.life:
                 self._renew(node, float(found.life))
 
+        elif kind is Kind.LEAVING:
+            word = self.fleet.verdicts.leaving(node)
+            if word is not None and word.value % 4 in Departs._value2member_map_:
+                self.departs(node, word.life, word.value // 4, Departs(word.value % 4))
+
     def member(self, member: int, before: State, after: State) -> None:
         """Who is there changes who grants, and nothing that the module decides."""
 
--- a/shaletiller/fleet/verdicts.py
+++ b/shaletiller/fleet/verdicts.py
@@ -11,6 +11,8 @@
   its life.
 - Bans are one register for all observers: any operator's ENABLE lifts any operator's DISABLE, the newest word
   stands.
+- What the node list says of a life (LEAVING) is one register for all observers too; of two words that of the
+  higher version of the list stands, whoever said it later.
 - What takes work away from a node (`Kind.DEAD`, `TURNING`) needs the word of `quorum` distinct observers:
   what one gateway alone believes may be its own link.
 """
@@ -38,6 +40,17 @@
     COLD = 3  # it has started anew: its life is the word (1)
     TURNING = 4  # it turns work away (1)
     SLOW = 5  # its usual lag, in milliseconds
+    # The node list says of this life that it drains, has left, or is active after all: the list's version
+    # times four, and `Departs`.
+    LEAVING = 6
+
+
+class Departs(IntEnum):
+    """What a word of kind LEAVING says."""
+
+    DRAINING = 1
+    LEFT = 2
+    ACTIVE = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,14 +67,15 @@
 
 
 def key_of(word: Verdict) -> Key:
-    return word.node, word.kind, EVERYONE if word.kind == Kind.BAN else word.observer
+    return word.node, word.kind, EVERYONE if word.kind in (Kind.BAN, Kind.LEAVING) else word.observer
 
 
-def rank(word: Verdict) -> tuple[int, int, int, int, int, int]:
+def rank(word: Verdict) -> tuple[int, int, int, int, int, int, int]:
     """Words under one key are ordered by this alone, in whatever order they come; a ban's life counts
     nothing."""
     life = 0 if word.kind == Kind.BAN else word.life
-    return life, word.stamp, word.observer, word.value, word.until, word.life
+    listed = word.value if word.kind == Kind.LEAVING else 0
+    return life, listed, word.stamp, word.observer, word.value, word.until, word.life
 
 
 class Verdicts:
@@ -88,6 +102,10 @@
         """The newest operator's word on a node."""
         return self._words.get((node, Kind.BAN, EVERYONE))
 
+    def leaving(self, node: str) -> Verdict | None:
+        """What the node list says of a node's departure, as the highest version known has it."""
+        return self._words.get((node, Kind.LEAVING, EVERYONE))
+
     @property
     def digest(self) -> int:
         """Equal for equal maps; kept up as words come and go."""
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -52,7 +52,7 @@
         a_box = config.back_sockets // 2 // max(1, len(config.nvme.box))
         self._boxes = self._nvme_boxes(a_box)
         self.discovery = Discovery(
-            config.discovery, config.known, self._back_of, self.engine.nodes, config.seed)
+            config.discovery, config.known, self._back_of, self.engine.nodes, config.seed, self._clock.now_ms)
         self.front = HttpFront(
             self.engine, config.front_sockets, lambda: self.discovery.held, self._clock)
         self.fleet = self._fleet_port()
@@ -88,7 +88,10 @@
             return None
         from shaletiller.net.fleet import FleetPort
 
-        return FleetPort(self.config, operator.fleet, self.engine, self._clock)
+        port = FleetPort(self.config, operator.fleet, self.engine, self._clock)
+        self.discovery.book.departed = port.listed
+        port.hear_lists(self.discovery.others_say)
+        return port
 
     def _promise_port(self) -> PromisePort | None:
         operator = self.config.operator
@@ -129,6 +132,7 @@
             "ejected": len(engine.banned & engine.listed.keys()),
             "sighup_applied": self.sighup["applied"], "sighup_rejected": self.sighup["rejected"],
             **(self.fleet.figures() if self.fleet is not None else {}),
+            **(self.discovery.book.figures(self._clock.now_ms()) if self.fleet is not None else {}),
             **(self.promises.figures() if self.promises is not None else {}),
         }
         classes = [spec.name for spec in engine.settings.classes]
--- a/shaletiller/lab/cli.py
+++ b/shaletiller/lab/cli.py
@@ -12,7 +12,16 @@
 
 import typer
 
-from shaletiller.lab import cost, fleet_run, fleet_sim, promise_cost, promise_run, promise_sim, scenario
+from shaletiller.lab import (
+    cost,
+    discovery_run,
+    fleet_run,
+    fleet_sim,
+    promise_cost,
+    promise_run,
+    promise_sim,
+    scenario,
+)
 from shaletiller.lab import cut as cutting
 from shaletiller.lab import small as smallest
 from shaletiller.lab.gateways import LabError
@@ -78,6 +87,26 @@
     show(out, to)
 
 
+@app.command()
+def discovery(
+    gateways: Annotated[int, typer.Option(min=5, max=20)] = 5,
+    seconds: Annotated[float, typer.Option(min=8, max=3600)] = 15.0,
+    seed: Seed = 1,
+    faults: Annotated[str, typer.Option(help=f"{', '.join(scenario.names('discovery'))}; or a file")
+                      ] = "none",
+    alone: Annotated[bool, typer.Option("--alone", help="each gateway alone, as without a fleet")] = False,
+    to: Json = None,
+) -> None:
+    """Real processes whose discovery fails, lies or forgets."""
+    try:
+        out = asyncio.run(discovery_run.run(
+            gateways, seconds, seed, scenario.load(faults, "discovery"), on=not alone))
+    except (LabError, scenario.ScenarioError) as error:
+        typer.echo(f"lab: {error}", err=True)
+        raise typer.Exit(2 if isinstance(error, scenario.ScenarioError) else 3) from error
+    show(out, to)
+
+
 @app.command()
 def cut(
     folder: Annotated[Path, typer.Argument(metavar="DIR", help="where the store is written")],
--- a/shaletiller/lab/fleet_run.py
+++ b/shaletiller/lab/fleet_run.py
@@ -35,6 +35,7 @@
 SHARDS = 3  # of the limited volume; there is one more, whose node operators take out
 SHORTEST_MS = 6_000.0  # a use is told of no shorter time: a burst at either end would count too much
 SURGES = 0.33, 0.54  # parts of the run between which the other gateways have surges
+NO_LIST = {"version": 0, "full": True, "servers": []}
 TABLES = """store {
     dir "FOLDER/store"
 }
@@ -140,7 +141,7 @@
 
     async def inflict(self, fault: Fault) -> None:
         self.course.append((now_ms() - self.began_ms, str(fault)))
-        names = [self.who(name) for name in fault.args]
+        names = [self.who(str(name)) for name in fault.args]
         if fault.verb == "cut":
             self.wires.cut(set(names), bool(fault.options.get("one_way", False)))
         elif fault.verb == "heal":
@@ -150,18 +151,41 @@
         elif fault.verb in ("kill", "stop"):
             await getattr(self.processes[names[0]], fault.verb)()
         elif fault.verb == "start":
-            await self.processes[names[0]].start(self.known(names[0]))
+            known = {"now": self.known(names[0]), "nothing": NO_LIST, "old": None}
+            await self.processes[names[0]].start(known[str(fault.options.get("known", "now"))])
         elif fault.verb in ("pause", "resume"):
             getattr(self.processes[names[0]], fault.verb)()
         elif fault.verb in ("disable", "enable"):
             await self._by_hand(fault)
         elif fault.verb == "wipe":
             self.processes[names[0]].wipe()
+        elif fault.verb == "discovery":
+            self._discovery(fault)
+        elif fault.verb == "list":
+            self.discovery.change(fault.args[0], fault.args[1])
+        elif fault.verb == "node":
+            node = next(each for each in self.nodes if each.name == fault.args[0])
+            if fault.args[1] == "restart":
+                await node.restart()
+                self.discovery.change(node.name)
+            elif fault.args[1] == "close":
+                node.close()
+            else:
+                raise LabError(f"fault {fault}: wants close or restart")
         elif fault.verb == "disk":
             self.processes[names[0]].drill(fault.options)
         else:
             raise LabError(f"fault {fault.verb!r} is not one of this run")
 
+    def _discovery(self, fault: Fault) -> None:
+        of, (what, *rest) = self.discovery, fault.args
+        of.silent, of.empty = what == "silent", what == "empty"
+        of.serves = frozenset(self.names[:int(float(rest[0]))]) if what == "overbooked" else None
+        if what == "back":
+            of.put_back(int(float(rest[0])))
+        elif what not in ("silent", "up", "overbooked", "empty"):
+            raise LabError(f"fault {fault}: unknown")
+
     async def _by_hand(self, fault: Fault) -> None:
         asked_ms = now_ms()  # an ENABLE may hold elsewhere before it is answered here
         via = self.processes[self.who(str(fault.options["via"]))]
--- a/shaletiller/lab/nodes.py
+++ b/shaletiller/lab/nodes.py
@@ -142,6 +142,10 @@
     ports: dict[str, int] = field(default_factory=dict)
     calls: list[tuple[float, str]] = field(default_factory=list)
     silent: bool = False
+    serves: frozenset[str] | None = None  # overbooked: all but these gateways get a 503
+    empty: bool = False  # by mistake: whole lists have nothing in them
+    changes: list[tuple[float, str, str]] = field(default_factory=list)  # when, node, state
+    told_ms: dict[tuple[str, str], float] = field(default_factory=dict)  # node, state: first told
 
     def __post_init__(self) -> None:
         self._changed: dict[str, int] = {}
@@ -169,18 +173,29 @@
 
     def told(self, gateway: str, since: int | None) -> bytes:
         whole = since is None or since > self.version
-        rows = self.rows(gateway, None if whole else since)
+        rows = [] if self.empty else self.rows(gateway, None if whole else since)
+        for row in rows:
+            self.told_ms.setdefault((row["id"], row["state"]), now_ms())
         return json.dumps({"version": self.version, "full": whole, "servers": rows}).encode()
 
     def change(self, node: str, state: str | None = None) -> None:
         """A node's line is another from now on; those that watch hear of it."""
         if state is not None:
             self.states[node] = state
+            self.changes.append((now_ms(), node, state))
         self.version += 1
         self._changed[node] = self.version
         for peer in list(self._waiting):
             self._answer(peer)
 
+    def put_back(self, versions: int) -> None:
+        """Restored from a copy: its version, and what it knows of nodes' states, are those of so many changes
+        ago."""
+        self.version = max(1, self.version - versions)
+        for _, node, _ in self.changes[-versions:]:
+            self.states.pop(node, None)
+            self._changed.pop(node, None)
+
     def _ended(self, peer: Peer) -> None:
         waiting = self._waiting.pop(peer, None)
         if waiting is not None:
@@ -190,6 +205,9 @@
         self.calls.append((now_ms(), gateway))
         if self.silent:
             return
+        if self.serves is not None and gateway not in self.serves:
+            peer.write("HTTP/1.1 503 Overbooked", {})
+            return
         query = message.first.split(" ")[1].partition("?")[2]
         asked = dict(part.partition("=")[::2] for part in query.split("&") if part)
         since = int(asked["since"]) if "since" in asked else None
@@ -205,5 +223,6 @@
         if found is not None:
             gateway, since, timer = found
             timer.cancel()
-            if not self.silent:
+            served = self.serves is None or gateway in self.serves
+            if not self.silent and served:
                 peer.write("HTTP/1.1 200 OK", {}, self.told(gateway, since))
--- a/shaletiller/lab/scenario.py
+++ b/shaletiller/lab/scenario.py
@@ -12,9 +12,12 @@
     heal                           all links as new
     worsen [loss=P] [doubled=P] [most-ms=T]     all links
     kill NAME | stop NAME | start NAME | pause NAME | resume NAME     SIGKILL; SIGTERM, and its end awaited
+                                   start NAME known="now" (the list that it is given), "old" or "nothing"
     wipe NAME                      its folder, while it is down
     disable NODE via=NAME | enable NODE via=NAME     an operator's call at a gateway's door
     node NODE close|restart|silent|up|slow
+    discovery silent|up|overbooked N|empty|back N     N: gateways that it serves, changes that it forgets
+    list NODE active|leaving|left     a line of discovery's list
     disk NAME [slow-ms=T] [full=true] [sync-fails=true]     from now on; none of them: sound again
 
 `granter` in place of a name is the member that grants the limit under test at that moment.
@@ -28,7 +31,7 @@
 
 FOLDER = Path(__file__).parent / "scenarios"
 VERBS = {"cut", "heal", "worsen", "kill", "start", "pause", "resume", "wipe", "disable", "enable", "node",
-         "disk", "stop"}
+         "disk", "discovery", "list", "stop"}
 
 
 class ScenarioError(Exception):
--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -10,11 +10,13 @@
 import msgspec
 
 from shaletiller import interface as i
+from shaletiller.clock import Clock
 from shaletiller.config import ConfigError, ServerList, ServerRow, read_address
 from shaletiller.core.model import Back
 from shaletiller.core.route import Place
 from shaletiller.log import log
 from shaletiller.net.body import read_bounded
+from shaletiller.nodes.book import NodeBook, Source
 
 # A watch waits for so short a time since a silent agent and one that has nothing to tell look alike until it
 # is over: with 20 s, a call that fell silent kept the list old for as long, and news count as told after 6 s.
@@ -56,11 +58,14 @@
     def __init__(
         self, address: tuple[str, int], known: ServerList, back: Callable[[str], Back],
         apply: Callable[[i.ListKind, int, tuple[Place, ...]], None], seed: int = 0,
+        now_ms: Callable[[], float] | None = None,
     ) -> None:
         self._back = back
         self._random = random.Random(seed)  # gateways started together do not ask again together
         self._apply = apply
         self._known = known
+        self._now_ms = now_ms or Clock().now_ms
+        self.book = NodeBook()
         self.held = False
         self.rows: dict[str, ServerRow] = {}  # the list as it was told, by node
         self.news: Callable[[ServerList], None] | None = None  # told the whole list after each change
@@ -70,16 +75,23 @@
         """From now on the list comes from this address, at first the whole: its versions may be others."""
         self._base = f"http://{address[0]}:{address[1]}/discovery/hosts"
         self._version: int | None = None
+        self.book.moved()
 
-    def start_from_known(self) -> None:
+    def start_from_known(self, source: Source = Source.GIVEN) -> None:
         """The list as this gateway last had it; it may be old."""
         try:
-            self._take(self._known, i.ListKind.REMEMBERED)
+            self._take(self._known, i.ListKind.REMEMBERED, source)
         except BadList as error:
             log(f"known list left out: {error}")
 
-    def _take(self, found: ServerList, kind: i.ListKind) -> None:
+    def _take(self, found: ServerList, kind: i.ListKind, source: Source = Source.DISCOVERY) -> None:
         places = tuple(read_row(row, self._back) for row in found.servers)
+        whole = kind is not i.ListKind.CHANGES
+        taken = self.book.take(places, found.version, whole, source, self._now_ms())
+        if taken.held_back:
+            self._version = None  # the whole list again: what a second call says too is believed
+            raise BadList(f"the list of version {found.version} takes most nodes away: asked for again")
+        places = taken.places
         self._version = found.version
         self.held = self.held or bool(places)
         if kind is not i.ListKind.CHANGES:
@@ -98,9 +110,15 @@
         if (self._version or 0) >= kept.version and self.held:
             return False
         self._known = kept
-        self.start_from_known()
+        self.start_from_known(Source.KEPT)
         return True
 
+    def others_say(self, node: str, life: int, version: int, state: i.NodeState) -> None:
+        """Another gateway's list says so of a node that this one's has named."""
+        taken = self.book.news(node, life, version, state, self._now_ms())
+        if taken.places:
+            self._apply(i.ListKind.CHANGES, version, taken.places)
+
     async def fetch(self) -> None:
         """The whole list, once, as the module asked; the watch goes on beside it."""
         try:
--- a/shaletiller/net/fleet.py
+++ b/shaletiller/net/fleet.py
@@ -10,6 +10,8 @@
 from shaletiller.core.engine import Engine
 from shaletiller.fleet.core import Options
 from shaletiller.fleet.liaison import Liaison
+from shaletiller.fleet.verdicts import Departs
+from shaletiller.interface import NodeState
 from shaletiller.log import log
 from shaletiller.net.links import Links
 from shaletiller.net.peers import Peers
@@ -17,6 +19,7 @@
 from shaletiller.promises.messages import MARK
 
 TICK_MS = 25.0
+SAYS = {NodeState.DRAINING: Departs.DRAINING, NodeState.GONE: Departs.LEFT, NodeState.READY: Departs.ACTIVE}
 SENT_LATE_MS = 100.0  # a tick that comes so late is told of: the process stood still
 
 
@@ -108,6 +111,15 @@
     def ban(self, node: str, out: bool) -> None:
         self.liaison.ban(node, out, self._clock.now_ms())
 
+    def listed(self, node: str, life: int, version: int, state: NodeState) -> None:
+        """This gateway's own node list says so of a node."""
+        self.liaison.listed(node, life, version, SAYS[state], self._clock.now_ms())
+
+    def hear_lists(self, heard: Callable[[str, int, int, NodeState], None]) -> None:
+        """What others' node lists say of nodes goes there."""
+        states = {says: state for state, says in SAYS.items()}
+        self.liaison.departs = lambda node, life, version, says: heard(node, life, version, states[says])
+
     def figures(self) -> dict[str, int]:
         links = {"fleet.link_dropped": self._links.dropped} if self._links is not None else {}
         return {**self.liaison.figures(), **links, "fleet.late_ticks": self.late}
