--- a/shaletiller/nodes/book.py
+++ b/shaletiller/nodes/book.py
@@ -109,9 +109,11 @@
         self.version, self.taken_ms = version, now_ms
         named = {place.entry.node for place in places}
         if whole:
-            gone = [entry.place for node, entry in self.entries.items() if node not in named]
-            for place in gone:
-                self._left(place, version, source, now_ms)
+            for node, entry in list(self.entries.items()):
+                if node not in named:
+                    # One that only an older list had is dropped without a word: this list may be wrong.
+                    sure = source if entry.source is Source.DISCOVERY else entry.source
+                    self._left(entry.place, version, sure, now_ms)
         told = []
         for place in places:
             node = place.entry.node
@@ -181,8 +183,6 @@
         known, entry = self._departures.get(node), self.entries.get(node)
         if known is not None and (known.life, known.version) >= (life, version):
             return Taken()
-        if state is NodeState.READY and known is None:
-            return Taken()  # nothing was taken out that it could undo
         before = self.seen(entry.place) if entry is not None else None
         if entry is not None and entry.source is Source.DISCOVERY and entry.version >= version:
             return Taken()  # the own list is as new
--- a/shaletiller/promises/proposer.py
+++ b/shaletiller/promises/proposer.py
@@ -195,6 +195,10 @@
         noes = [reply for reply in replies if reply.how == NO]
         for reply in noes:
             op.seen = max(op.seen, reply.row.promised[0], reply.row.ballot[0])
+        made = self._made(op)
+        if made is not None:
+            self._end(op, Done(op.number, False, made))
+            return
         wanted = self.groups.copies if op.phase == "fast" else self.groups.majority
         if agreed >= wanted:
             if op.phase == "prepare":
@@ -212,6 +216,20 @@
             else:
                 self._rest(op, now_ms)
 
+    def _made(self, op: Op) -> bytes | None:
+        """What the answers alone show to be made, where that is all the op has to know: a majority has taken
+        it under one ballot and step (of the fast round's first: all of the group).  So a repeat of a settled
+        key takes one round and no sync."""
+        if op.expect not in (Expect.FREE, Expect.NEVER) or op.phase not in ("fast", "prepare"):
+            return None
+        rows = [reply.row for reply in op.replies.values() if reply.how in (OK, NO)]
+        for row in rows:
+            wanted = self.groups.copies if row.rank == (FAST, 0) else self.groups.majority
+            if row.value not in (b"", op.value) and wanted <= sum(
+                    other.rank == row.rank and other.value == row.value for other in rows):
+                return row.value
+        return None
+
     def _prepared(self, op: Op, now_ms: float) -> None:
         """A majority takes nothing older: what may have been made is the newest among them."""
         rows = [reply.row for reply in op.replies.values() if reply.how == OK]
