--- a/shaletiller/lab/gateways.py
+++ b/shaletiller/lab/gateways.py
@@ -20,6 +20,7 @@
 READY_S = 30.0
 PORTS, BLOCK = (10_000, 32_000), 200  # below those that Linux gives to outgoing connections
 CALL_S = 3.0
+ACCEPTS_MS = 700.0  # a process that is told to stop takes new connections for so long
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -182,6 +183,7 @@
         if not self.alive:
             return
         self.resume()
+        self.down.append([now_ms() + ACCEPTS_MS, float("inf")])  # then its listener closes
         self._signal(signal.SIGTERM)
         assert self._process is not None
         try:
