--- a/shaletiller/net/promises.py
+++ b/shaletiller/net/promises.py
@@ -178,6 +178,8 @@
         now_ms = self._clock.now_ms()
         self._quick = self.promises.busy
         self._timer = self._clock.call_later(TICK_MS if self._quick else IDLE_TICK_MS, self._tick)
+        peers = self._members.membership.peers
+        self.promises.absent = frozenset(n for n, peer in peers.items() if peer.state is State.DEAD)
         self._guarded(lambda: self.promises.tick(now_ms, self._members.membership.alive()))
         if self._list is not None and now_ms - self._list_ms >= LIST_MS:
             self._keep_list(now_ms)
--- a/shaletiller/promises/core.py
+++ b/shaletiller/promises/core.py
@@ -64,6 +64,8 @@
         self.proposer = Proposer(self.acceptor, process)
         self.repair = Repair(self.acceptor, process, budget)
         self.effects: list[Effect] = []
+        # Members that are known to be away: a fast round, which wants the whole group, is not tried then.
+        self.absent: frozenset[int] = frozenset()
         self._after: dict[int, tuple[int, Any_] | int] = {}  # by token: what is sent, or who has given all
         self._on_way: dict[int, tuple[str, ...]] = {}  # by token: the registers that are going down
         self._dirty: set[str] = set()  # those that did not last: the store has them older than they are here
@@ -88,6 +90,7 @@
         """Begin an op; its number stands in its `Done`."""
         self._ops += 1
         op = Op(self._ops, key, expect, value, int(until_ms), deadline_ms, expected)
+        fast = fast and self.absent.isdisjoint(self.groups.of(key))
         self.proposer.start(op, now_ms, held, fast)
         self._settle(now_ms)
         return self._ops
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -158,6 +158,16 @@
     assert trio.ask(0, "j", value=b"mine").unknown
 
 
+def test_a_fast_round_is_not_tried_while_one_of_the_group_is_known_to_be_away() -> None:
+    # It would wait 40 ms for the one that cannot answer: on every write, for as long as that is away.
+    trio = Trio()
+    trio.nodes[2] = None
+    trio.node(0).absent = frozenset({2})
+    before = trio.now
+    assert trio.ask(0, "k", value=b"mine").kept
+    assert trio.now - before < 10.0 and trio.sent["Prepare"] == 2
+
+
 def test_the_value_of_a_fast_round_stands_only_where_all_that_answer_have_it() -> None:
     mine, yours = Row(FAST, FAST, 0, b"mine", 9), Row(FAST, FAST, 0, b"yours", 9)
     assert standing([mine, mine]).value == b"mine"
