--- a/shaletiller/lab/promise_cost.py
+++ b/shaletiller/lab/promise_cost.py
@@ -224,7 +224,7 @@
     left.legend()
     rates = found["commits_a_second"]
     middle.bar(["a sync\nfor each", "group\ncommit"], list(rates.values()))
-    middle.set(yscale="log", ylabel="records a second", title="commits")
+    middle.set(ylabel="records a second", title="commits")
     sizes = [each["records"] for each in found["recovery"]]
     for name in ("log", "snapshot"):
         right.plot(sizes, [each[f"{name}_s"] for each in found["recovery"]], marker="o", label=name)
