--- a/shaletiller/lab/fleet_run.py
+++ b/shaletiller/lab/fleet_run.py
@@ -85,7 +85,6 @@
         self.processes: dict[str, Process] = {}
         self.course: list[tuple[float, str]] = []
         self.began_ms = 0.0
-        self.wipes: list[tuple[float, str]] = []
         self._struck: dict[str, str] = {}
         self.bans: list[tuple[str, float, float]] = []  # node, when `done` was said, and when it was lifted
 
@@ -208,8 +207,6 @@
             if wait_ms > 0:
                 await asyncio.sleep(wait_ms / 1000)
             await self.inflict(fault)
-            if fault.verb == "wipe":
-                self.wipes.append((now_ms(), self.who(fault.args[0])))
 
     async def stop(self) -> None:
         await asyncio.gather(*(process.stop() for process in self.processes.values()))
