Split the decisions into a package by concern; no decision changes

What they know, and decides nothing, is in `state/`: records, the settings in force and what follows from them, lags, volumes. Names in the field's words: a lane is an upstream, what is held is pending, a turn is a key queue.

One difference in memory: times of requests and repeats are kept only where the site states a budget; repeats were kept for ever without one.

--- /dev/null
+++ b/shaletiller/logic/capacity.py
@@ -0,0 +1,50 @@
+"""A node's capacity in units, the slots of its classes by the payoff split, and when its answers are late."""
+
+from __future__ import annotations
+
+from shaletiller.logic.payoff import Demand, best_split, rounded_rate
+from shaletiller.state.latency import Latency
+from shaletiller.state.records import BANDS, Pending, Upstream
+from shaletiller.state.site import ROUND_PART, Site
+
+START_REQUESTS = 4  # a node's first capacity, in requests of each class
+SHOWN_REQUESTS, CEILING_REQUESTS = 6, 32  # a node's largest capacity, in requests: taken as shown, and at all
+LATE_LEAST, LATE_MOST = 0.1, 0.4  # an answer is late from this part of its aim, by what its zone is worth
+PATIENCE = 4.0  # an answer is overdue after so many times the usual lag of its class
+MOST_DOUBLED = 10  # how often patience doubles while a node stays silent
+FALL_PART, SHOWN_PART = 0.1, 0.25  # how far a round takes it: late, to what was served; any, to what is shown
+
+
+def settle_round(upstream: Upstream, mean_units: float) -> None:
+    """End a round: one request more after answers in time, down toward what was served after late ones."""
+    if upstream.verdict < 0:
+        upstream.capacity -= FALL_PART * max(0.0, upstream.capacity - upstream.served)
+    elif upstream.verdict > 0 and upstream.taken + upstream.served >= upstream.capacity / 2:
+        upstream.capacity += mean_units
+    # So much it does within the tightest aim.
+    shown = max(SHOWN_REQUESTS * mean_units, upstream.served / ROUND_PART)
+    upstream.capacity -= SHOWN_PART * max(0.0, upstream.capacity - shown)
+    upstream.capacity = min(max(upstream.capacity, mean_units), CEILING_REQUESTS * mean_units)
+    upstream.served, upstream.verdict = 0.0, 0
+
+
+def split_slots(upstream: Upstream, site: Site, now_ms: float) -> None:
+    """The slots of each class by payoff, under the last arrival rates and the capacity as it is now."""
+    demands = [Demand(rounded_rate(asked.add(now_ms)), site.worth[kind], site.settings.mean_units,
+                      site.rounds[kind // BANDS]) for kind, asked in enumerate(upstream.asked)]
+    upstream.slots = best_split(demands, upstream.capacity, 1000 / site.round_ms)
+
+
+def late_ms(pending: Pending, site: Site) -> float:
+    """From which lag of a mean request on a node is too slow for a request.
+
+    Hosts meet only in the node's lag: where it grows, the host whose work is worth less gives way.  All go by
+    the tightest aim: else work that can wait keeps a node too slow for work that cannot."""
+    return site.tightest_aim_ms * (LATE_LEAST + (LATE_MOST - LATE_LEAST) * site.pay(pending))
+
+
+def patience_ms(pending: Pending, latency: Latency) -> float:
+    """By the usual lag of the class and of this node; doubled as the node stays silent."""
+    upstream = pending.upstream
+    usual_ms = max(PATIENCE * latency.usual_ms(pending), 2 * upstream.lag_ms) or pending.spec.aim_ms
+    return float(usual_ms * 2 ** min(upstream.silent, MOST_DOUBLED))
--- /dev/null
+++ b/shaletiller/logic/limits.py
@@ -0,0 +1,62 @@
+"""What a volume may have: its plan's limit, its reserve and its weighted share of a node."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from shaletiller.fleet.shares import Amount, Share
+from shaletiller.rates import Recent, Store
+from shaletiller.state.records import BANDS, BEYOND, RESERVE, SHARE, Pending, Upstream, Volume
+from shaletiller.state.site import Site
+from shaletiller.state.volumes import Volumes, unsent_units
+
+
+class Limits:
+    """Judges requests by the stores of their volumes."""
+
+    def __init__(self, site: Site, volumes: Volumes) -> None:
+        self._site, self._volumes = site, volumes
+
+    def allows(self, pending: Pending, known: Iterable[Pending], now_ms: float) -> bool:
+        """Rule 5 needs proof: spend only this host's even part, empty at the start, for what was sent before
+        a restart is forgotten; never the slack.  What waits counts, and is drawn at its send: drawn at once,
+        the store would fill again meanwhile and the send come on top."""
+        if pending.volume.plan.limit_rate <= 0:
+            return True
+        return self._level(pending, now_ms) >= unsent_units(pending, known)
+
+    def draw(self, pending: Pending, now_ms: float) -> None:
+        """Take a request's units from its volume's limit as it is sent."""
+        self._level(pending, now_ms)
+        pending.volume.limit.level -= pending.ask.units
+
+    def _level(self, pending: Pending, now_ms: float) -> float:
+        """Where the fleet deals out the limit, by the share in hand at this moment: a lease may be over."""
+        plan, part = pending.volume.plan, 1 / pending.volume.hosts
+        even = Share(Amount(plan.limit_rate * part, plan.limit_burst * part))
+        return pending.volume.limit.by_share(now_ms, self._volumes.share(pending.ask.volume) or even)
+
+    def band(self, pending: Pending, upstream: Upstream, now_ms: float) -> int:
+        """Whether the volume is inside its reserve, its weighted share of the node, or beyond."""
+        volume, units, most = pending.volume, pending.ask.units, self._site.settings.most_units
+        if volume.plan.reserve > 0:
+            mine = max(volume.plan.reserve / volume.hosts, volume.plan.reserve - volume.others_rate)
+            if volume.reserve.fill(now_ms, mine, mine + most) >= units:
+                volume.reserve.level -= units
+                return RESERVE
+        upstream.excess.setdefault(pending.ask.volume, Recent()).add(now_ms, units)
+        rate = self._share_rate(upstream, volume, now_ms)
+        store = volume.shares.setdefault(upstream.shard, Store(rate + most, now_ms))
+        if store.fill(now_ms, rate, rate + most) >= units:
+            store.level -= units
+            return SHARE
+        return BEYOND
+
+    def _share_rate(self, upstream: Upstream, volume: Volume, now_ms: float) -> float:
+        """This host's part of the node past the reserves, by weight among the volumes that ask for more."""
+        mean_units = self._site.settings.mean_units
+        power = upstream.capacity * 1000 / self._site.round_ms
+        reserved = sum(asked.add(now_ms) for asked in upstream.asked[RESERVE::BANDS]) * mean_units
+        asking = [name for name, asked in upstream.excess.items() if asked.add(now_ms) >= mean_units / 2]
+        weight = sum(self._volumes[name].plan.weight for name in asking)
+        return max(0.0, power - reserved) * volume.plan.weight / max(weight, volume.plan.weight, 1e-9)
--- a/tests/test_endings_nodes.py
+++ b/tests/test_endings_nodes.py
@@ -231,7 +231,7 @@
         host.ask("k")
         if later is not None:
             host.scheduler.retune(dataclasses.replace(
-                host.scheduler._set, classes=(dataclasses.replace(keyed, key_ttl_ms=later),)))
+                host.scheduler.settings, classes=(dataclasses.replace(keyed, key_ttl_ms=later),)))
         host.run_to(at_ms)
         host.answer("k", i.Outcome.RESET, over=False)
         host.run_to(at_ms + 1.0)
@@ -327,7 +327,7 @@
         watch.cancel()
 
     async def test_a_faulty_file_leaves_all_as_it_was(self) -> None:
-        before, scheduler = self.gateway.config, self.gateway.engine._scheduler._set
+        before, scheduler = self.gateway.config, self.gateway.engine._scheduler.settings
         read, write = SETTINGS["classes"]
         for classes in (
             [{**read, "hard-limit-ms": 0}, write],
@@ -338,7 +338,7 @@
                 self.config.write_text(json.dumps(self.told))
                 self.gateway.hup(lambda: read_config_again(self.env, self.nvme))
                 self.assertIs(self.gateway.config, before)
-                self.assertIs(self.gateway.engine._scheduler._set, scheduler)
+                self.assertIs(self.gateway.engine._scheduler.settings, scheduler)
         self.assertEqual(self.gateway.sighup, {"applied": 0, "rejected": 3})
         await self.served(await self.wire(), 1)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,7 +6,8 @@
 from dataclasses import replace
 
 from shaletiller import interface as i
-from shaletiller.logic import _rounded
+from shaletiller.logic.capacity import settle_round
+from shaletiller.logic.payoff import rounded_rate
 from tests.helpers import PLAN, SAFE, Host, entry, settings
 
 
@@ -37,7 +38,7 @@
         if reset:
             host.answer(f"r{n}", i.Outcome.OK, attempt=1)
         host.run_to(host.now + 30)
-    assert host.scheduler._lanes[0].capacity >= 8.0
+    assert host.scheduler._upstreams[0].capacity >= 8.0
 
 
 def test_refused_request_that_was_never_sent_gives_its_part_of_the_limit_back() -> None:
@@ -95,7 +96,7 @@
         if f"w{n}" in host.sent():
             host.answer(f"w{n}", lag=20)
         host.run_to(host.now + 60)
-    assert host.scheduler._lanes[0].cold_since_ms == 1.0
+    assert host.scheduler._upstreams[0].cold_since_ms == 1.0
 
 
 def test_log_lines_name_the_node_and_what_it_entered() -> None:
@@ -144,7 +145,7 @@
     host.run_to(10_000)
     host.ask("later", volume="v1")
     host.answer("later", lag=20)
-    assert host.scheduler._lanes[0].lag_ms < 30
+    assert host.scheduler._upstreams[0].lag_ms < 30
 
 
 def losing(host: Host, count: int = 8) -> None:
@@ -156,7 +157,7 @@
     for n in range(count):
         host.ask(f"l{n}", shard=1)
         host.run_to(host.now + 1200)
-        for name, attempt in list(host.scheduler._out):
+        for name, attempt in list(host.scheduler._attempts):
             host.answer(name, i.Outcome.TIMEOUT, attempt=attempt, node="n2", lag=1200, over=False)
         host.ask(f"o{n}", shard=1)
         host.answer(f"o{n}", node="n2", lag=20)
@@ -168,9 +169,9 @@
     host.ask("again")
     host.run_to(host.now + 200)
     assert host.sent().count("again") >= 2
-    for name, attempt in reversed(list(host.scheduler._out)):
+    for name, attempt in reversed(list(host.scheduler._attempts)):
         host.answer(name, attempt=attempt, over=True)
-    assert not host.scheduler._out
+    assert not host.scheduler._attempts
     assert host.finals("again") == []
 
 
@@ -200,7 +201,7 @@
     host.ask("again")
     host.run_to(host.now + 200)
     host.give(i.NodeList(i.ListKind.FULL, ()))
-    for name, attempt in list(host.scheduler._out):
+    for name, attempt in list(host.scheduler._attempts):
         host.answer(name, i.Outcome.ERROR, attempt=attempt)
     host.run_to(host.now + 2000)
     assert len(host.finals("again")) == 1
@@ -240,7 +241,7 @@
     host.ask("r2")
     host.now += 900
     host.answer("r2", lag=900)
-    lane = host.scheduler._lanes[0]
+    lane = host.scheduler._upstreams[0]
     assert lane.lag_ms == 20
     assert lane.verdict >= 0
 
@@ -254,11 +255,11 @@
             host.give(i.NodeList(i.ListKind.FULL, (entry(f"n{n}"),)))
         host.ask(f"r{n}", volume=f"v{n}", units=8.0)
         if f"r{n}" in host.sent():
-            host.answer(f"r{n}", node=host.scheduler._lanes[0].node)
+            host.answer(f"r{n}", node=host.scheduler._upstreams[0].node)
         host.run_to(host.now + 50)
         told = host.scheduler
-        sizes.append((len(told._volumes), len(told._lanes[0].excess), len(told._nodes), len(told._held),
-                      len(told._out), len(host.timers)))
+        sizes.append((len(told._volumes), len(told._upstreams[0].excess), len(told._nodes),
+                      len(told._pending), len(told._attempts), len(host.timers)))
     first, second = (map(max, *part) for part in (sizes[:700], sizes[700:]))
     for early, late in zip(first, second, strict=True):
         assert late <= early + 12
@@ -272,8 +273,8 @@
 
 
 def test_a_rate_that_dies_away_takes_no_slot_and_no_memory() -> None:
-    assert {_rounded(0.04 * 0.5 ** n) for n in range(1000)} == {0.0}
-    assert _rounded(5.0) > 4.0
+    assert {rounded_rate(0.04 * 0.5 ** n) for n in range(1000)} == {0.0}
+    assert rounded_rate(5.0) > 4.0
 
 
 def test_an_attempt_whose_outcome_comes_first_is_not_watched() -> None:
@@ -290,7 +291,7 @@
         host.ask(f"x{n}", service="export", expires_in_ms=4000.0)
     for name in host.sent():
         host.answer(name, lag=240)  # in time for exports, not for reads
-    lane, before = host.scheduler._lanes[0], len(host.sent())
+    lane, before = host.scheduler._upstreams[0], len(host.sent())
     assert lane.verdict < 0
     host.ask("held", expires_in_ms=4000.0)  # something is out, so that no test of the node is due
     host.ask("more", service="export", expires_in_ms=4000.0)
@@ -300,16 +301,16 @@
 
 def test_a_late_round_takes_a_capacity_only_part_of_the_way_down() -> None:
     host = Host()
-    lane = host.scheduler._lane_for(0)
+    lane = host.scheduler._upstream_for(0)
     lane.capacity, lane.served, lane.verdict = 40.0, 4.0, -1
-    host.scheduler._step_capacity(lane)
+    settle_round(lane, 2.0)
     assert 30.0 < lane.capacity < 40.0  # a node that paused once serves as much as before
 
 
 def test_what_waits_is_hopeless_by_the_lag_of_its_own_size() -> None:
     host = Host()
     fill(host, 12, units=8.0)
-    host.scheduler._lanes[0].lag_ms = 110.0
+    host.scheduler._upstreams[0].lag_ms = 110.0
     host.run_to(130)
     waiting = [f"f{n}" for n in range(12) if not host.finals(f"f{n}") and f"f{n}" not in host.sent()]
     assert not waiting  # eight units take two and a half times as long as the mean: not in 250 ms
@@ -317,7 +318,7 @@
 
 def test_what_would_wait_past_its_aim_is_refused_at_once_and_holds_no_connection() -> None:
     host = Host()
-    lane = host.scheduler._lane_for(0)
+    lane = host.scheduler._upstream_for(0)
     lane.capacity, lane.slots = 8.0, [4] * len(lane.slots)
     fill(host, 6)
     assert not [n for n in range(6) if host.finals(f"f{n}")]  # four are out, two wait: there is room
@@ -338,7 +339,7 @@
     host.ask("new")
     for name in out:
         host.answer(name)
-    lane = host.scheduler._lanes[0]
+    lane = host.scheduler._upstreams[0]
     assert (lane.taken, sum(lane.out)) == (2.0, 1)  # the new one alone; it stood at nothing and at -2
 
 
@@ -403,15 +404,15 @@
     # Growing by a request a round as long as answers come in time, a capacity stood at 25 units at nodes that
     # clear a dozen within the aim: the next surge went out whole, all of it late.
     host = Host()
-    lane, one = host.scheduler._lane_for(0), 2.0
+    lane, one = host.scheduler._upstream_for(0), 2.0
     for _ in range(40):
         lane.served, lane.verdict = 4.0, 1  # so little, in time each round
         lane.taken = lane.capacity
-        host.scheduler._step_capacity(lane)
+        settle_round(lane, 2.0)
     assert lane.capacity <= 9 * one
     for _ in range(40):
         lane.served, lane.verdict = 30.0, 1  # a larger node shows what it can do, and gets it
-        host.scheduler._step_capacity(lane)
+        settle_round(lane, 2.0)
     assert lane.capacity > 25 * one
 
 
@@ -420,9 +421,9 @@
     plan = i.PlanSpec("basic", base_rate=4, reserve=0.001)
     host = Host(plans=(plan,))
     fill(host, 3)
-    lane = host.scheduler._lanes[0]
+    lane = host.scheduler._upstreams[0]
     lane.lag_ms = 60.0  # it would not miss its aim for that
-    held = host.scheduler._held["f2"]
+    held = host.scheduler._pending["f2"]
     for band, waits in ((1, True), (2, False)):
         held.kind = band
         assert host.scheduler._may_wait(held, lane) is waits
@@ -431,7 +432,7 @@
 def test_the_wait_for_a_slow_node_counts_the_time_to_its_next_test() -> None:
     host = Host()
     fill(host, 3)
-    lane, held = host.scheduler._lanes[0], host.scheduler._held["f2"]
+    lane, held = host.scheduler._upstreams[0], host.scheduler._pending["f2"]
     lane.lag_ms = 180.0  # on its own it is in time, after half of what is out before it it is not
     assert host.scheduler._now + lane.lag_ms < held.due_ms
     assert not host.scheduler._may_wait(held, lane)
@@ -471,17 +472,17 @@
     host.ask("known", volume="v9")
     host.answer("known")
     scheduler = host.scheduler
-    round_ms = scheduler._round_ms
+    round_ms = scheduler._site.round_ms
     new = settings(classes=(replace(SAFE, name="other"), SAFE), plans=(limited,))
     scheduler.retune(new)
-    assert scheduler._round_ms > round_ms and scheduler._best_pay == SAFE.worth * limited.price
-    assert set(scheduler._classes) == {"other", "read", "quick"}  # the last for what is held of it
-    lane = scheduler._lanes[0]
+    assert scheduler._site.round_ms > round_ms and scheduler._site._best_pay == SAFE.worth * limited.price
+    assert set(scheduler._site.class_index) == {"other", "read", "quick"}  # the last for what is held of it
+    lane = scheduler._upstreams[0]
     assert len(lane.queues) == len(lane.slots) == len(lane.asked) == len(lane.out) == 9
-    assert sum(lane.out) == 1 and lane.out[scheduler._held["held"].kind] == 1
+    assert sum(lane.out) == 1 and lane.out[scheduler._pending["held"].kind] == 1
     host.ask("limited", volume="v9", units=4.0)  # its store is empty: what went before is not known
     assert host.finals("limited") and "limited" not in host.sent()
     host.answer("held")
     scheduler.retune(new)
-    assert set(scheduler._classes) == {"other", "read"} and len(lane.queues) == 6
+    assert set(scheduler._site.class_index) == {"other", "read"} and len(lane.queues) == 6
     assert sum(lane.out) == 0 and lane.taken == 0
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -55,7 +55,7 @@
     host.run_to(100)
     host.ask("r1", units=8)
     assert not host.sent()
-    host.scheduler._lanes[0].capacity = 60.0  # it has room for more than its budget
+    host.scheduler._upstreams[0].capacity = 60.0  # it has room for more than its budget
     host.give(i.ShareTold("n1", Share(Amount(0.0, 20.0))))
     for n in range(2, 7):
         host.ask(f"r{n}", units=8)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -149,7 +149,7 @@
     for n in range(12):
         host.ask(f"r{n}")
         host.run_to(host.now + 130)
-        for name in list(host.scheduler._held):
+        for name in list(host.scheduler._pending):
             tries = host.sent().count(name)
             if tries:
                 host.answer(name, O.ERROR, attempt=tries - 1)
@@ -225,7 +225,7 @@
     sent: list[tuple[float, bool]] = []
     for n in range(100):
         host.ask(f"r{n}")
-        for name, attempt in list(host.scheduler._out):
+        for name, attempt in list(host.scheduler._attempts):
             sent.append((host.now, n % 2 == 0))
             host.answer(name, O.OK if n % 2 == 0 else O.FULL, attempt=attempt)
         host.run_to(host.now + 20)
