--- a/shaletiller/logic/limits.py
+++ b/shaletiller/logic/limits.py
@@ -12,6 +12,7 @@
 from shaletiller.state.volumes import Volumes, unsent_units
 
 KEPT_PART = 0.8  # of a store, where all else that its volume asks for is worth more
+AGE_PART = 0.33  # a limit's store begins empty: what is kept of it is no more than this part has come in
 
 
 class Limits:
@@ -28,7 +29,8 @@
         if pending.volume.plan.limit_rate <= 0:
             self._guarantee.count_asked(pending)
             return True
-        cap = pending.volume.plan.limit_burst / pending.volume.hosts
+        plan, age_s = pending.volume.plan, (now_ms - pending.volume.limit_since_ms) / 1000
+        cap = min(plan.limit_burst, plan.limit_rate * age_s * AGE_PART) / pending.volume.hosts
         left = self._level(pending, now_ms) - unsent_units(pending, known)
         if left < 0:
             return False
@@ -36,8 +38,7 @@
         return left >= self._kept(pending, cap) or self._guarantee.owes_units(pending)
 
     def _kept(self, pending: Pending, cap: float) -> float:
-        """The units of a volume's store that are kept for its classes worth more, as far as they ask: else
-        whoever comes first spends it.  Never so much that a full store would not do."""
+        """What is kept of a store for the classes of its volume that are worth more."""
         ahead = pending.volume.asked.share_of(self._site.paid_more[pending.spec.name])
         return max(0.0, min(KEPT_PART * cap * ahead, cap - pending.ask.units))
 
--- a/shaletiller/logic/scheduler.py
+++ b/shaletiller/logic/scheduler.py
@@ -319,8 +319,7 @@
         elif event.outcome in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED):
             if attempt.node in self._drains:
                 self._drains[attempt.node] = self._now  # it takes nothing more
-            # A reset or an error says nothing of load: to fall for it starves a sound node.
-            upstream.verdict -= 1
+            upstream.verdict -= 1  # a reset or an error says nothing of load: that starves a sound node
 
     def _overdue(self, request: str, number: str) -> None:
         """An overdue answer says slow; where answers get lost its slot is free, and the work may go again."""
--- a/shaletiller/state/records.py
+++ b/shaletiller/state/records.py
@@ -27,6 +27,7 @@
     hosts: int
     reserve: Store
     limit: ShareStore
+    limit_since_ms: float  # when that store began, empty
     served: Recent = field(default_factory=Recent)
     others_rate: float = 0.0  # units a second that other hosts served of late
     asked_ms: float = 0.0
--- a/shaletiller/state/volumes.py
+++ b/shaletiller/state/volumes.py
@@ -45,9 +45,9 @@
         volume = self._volumes.get(ask.volume)
         if volume is None:
             stores = Store(math.inf, now_ms), ShareStore(0.0, start_ms)
-            volume = self._volumes[ask.volume] = Volume(plan, hosts, *stores)
+            volume = self._volumes[ask.volume] = Volume(plan, hosts, *stores, start_ms)
         elif volume.plan != plan:  # of new settings: what was drawn under the old ones is not known of these
-            volume.plan, volume.limit = plan, ShareStore(0.0, now_ms)
+            volume.plan, volume.limit, volume.limit_since_ms = plan, ShareStore(0.0, now_ms), now_ms
         volume.asked_ms = now_ms
         return volume
 
--- a/tests/test_guarantee.py
+++ b/tests/test_guarantee.py
@@ -17,6 +17,7 @@
 from shaletiller import interface as i
 from shaletiller.logic import Scheduler
 from shaletiller.logic.guarantee import CREDIT_REQUESTS, GUARANTEED
+from tests.helpers import Host
 
 DAY_MS = 6_000.0
 UNITS = (1.0, 2.0, 3.0)
@@ -200,3 +201,46 @@
     asked = sum(units for _, name, units in day.asked if name == "dear")
     got = sum(units for _, name, units in day.sent if name == "dear")
     assert got >= 0.8 * asked
+
+
+TIGHT = i.PlanSpec("basic", base_rate=4, limit_rate=4.0, limit_burst=40.0)
+
+
+def asked_by_both(host: Host, until_ms: float, dear_every_ms: float = 250.0) -> None:
+    """A volume whose classes ask for more together than its limit lets through."""
+    while host.now < until_ms:
+        for service in ("cheap", "dear") if host.now % dear_every_ms == 0 else ("cheap",):
+            name = f"{service} {host.now}"
+            host.ask(name, service=service, expires_in_ms=3000.0)
+            if name in host.sent():
+                host.answer(name, lag=5)
+        host.run_to(host.now + 250)
+
+
+def test_a_limit_goes_to_the_class_worth_more_and_not_to_whoever_comes_first() -> None:
+    # Whoever came first spent it: the class worth most got no more of it than any other.
+    host = Host(classes=(CHEAP, DEAR), plans=(TIGHT,))
+    asked_by_both(host, 60_000.0)
+    sent = [name.split()[0] for name in host.sent()]
+    assert sent.count("dear") > 3 * sent.count("cheap") > 0  # the cheap one has its guaranteed part
+
+
+def test_a_store_that_has_just_begun_is_not_kept_back() -> None:
+    # With a whole burst kept back, a process of a minute's age let nothing of the others through.
+    host = Host(classes=(CHEAP, DEAR), plans=(TIGHT,))
+    asked_by_both(host, 4_000.0, dear_every_ms=1000.0)
+    sent = [name.split()[0] for name in host.sent()]
+    assert sent.count("cheap") >= 3  # of sixteen units that have come in the other class had at most eight
+
+
+def test_what_is_refused_gives_back_what_it_drew_of_its_reserve() -> None:
+    host = Host(plans=(i.PlanSpec("basic", base_rate=4, reserve=1.0),))
+    host.ask("first")
+    host.answer("first")
+    upstream, volume = host.scheduler._upstreams[0], host.scheduler._volumes["v1"]
+    upstream.lag_ms, upstream.taken = 900.0, upstream.capacity  # too slow for anything
+    before = volume.reserve.level
+    for number in range(3):
+        host.ask(f"refused {number}")
+        assert host.finals(f"refused {number}")
+    assert volume.reserve.level >= before
