--- a/shaletiller/config.py
+++ b/shaletiller/config.py
@@ -25,6 +25,7 @@
 # their descriptor's; a part of a large limit more, a quarter of a small one at the most.
 RESERVED_SOCKETS, RESERVED_PART, RESERVED_MOST = 32, 32, 4
 MOST_NAME = 200  # of a gateway: with what is added a file's name stays within 255 bytes
+MOST_TIMEOUT_MS = 999_999_999  # nine digits, as over HTTP; a class's own limit is the site's to say
 NVME_TRANSFER = 65536  # data of one NVMe command
 NVME_MEMORY_PART = 0.5  # of the limit: what NVMe hosts that do not read may hold up at the most
 
@@ -90,8 +91,8 @@
     units: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     hosts: Annotated[int, msgspec.Meta(ge=1)] = 1
     block_bytes: Annotated[int, msgspec.Meta(ge=4096, le=65536)] = 4096
-    read_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 750.0
-    write_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 1200.0
+    read_timeout_ms: Annotated[float, msgspec.Meta(gt=0, le=MOST_TIMEOUT_MS)] = 750.0
+    write_timeout_ms: Annotated[float, msgspec.Meta(gt=0, le=MOST_TIMEOUT_MS)] = 1200.0
 
 
 class NvmeBox(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -102,6 +102,8 @@
         ("shard = 0", "shard = 0\nblock_bytes = 5000", "block_bytes"),
         ("shard = 0", "shard = 0\ncolour = 1", "colour"),
         ('"basic"', '"gold"', "front.namespace[0].plan"), ('"read"', '"r"', "front.namespace[0].read_class"),
+        ("shard = 0", "shard = 0\nread_timeout_ms = inf", "front.namespace[0].read_timeout_ms"),
+        ("shard = 0", "shard = 0\nwrite_timeout_ms = 0", "front.namespace[0].write_timeout_ms"),
         ("[front]", "[front", "nvme.toml"),
         ("[front]", "[front]\nconnections = 256", "front.connections"),
     ],
@@ -115,6 +117,13 @@
     assert key in str(caught.value)
 
 
+def test_an_nvme_namespace_may_give_its_commands_minutes(tmp_path: Path) -> None:
+    path = tmp_path / "nvme.toml"
+    path.write_text(NVME + "read_timeout_ms = 228552\nwrite_timeout_ms = 86400000\n")
+    space = read_config(env(tmp_path, GOOD), path).nvme.front.namespace[0]
+    assert (space.read_timeout_ms, space.write_timeout_ms) == (228_552, 86_400_000)
+
+
 def test_what_may_be_absent_may_be_null(tmp_path: Path) -> None:
     bare = GOOD | {"peer_listen": None, "peers": None, "peers_all": None, "known": None}
     found = read_config(env(tmp_path, bare), tmp_path / "none.toml")
