--- a/shaletiller/logic/limits.py
+++ b/shaletiller/logic/limits.py
@@ -12,7 +12,7 @@
 from shaletiller.state.volumes import Volumes, unsent_units
 
 KEPT_PART = 0.8  # of a store, where all else that its volume asks for is worth more
-AGE_PART = 0.15  # a limit's store begins empty: what is kept of it is no more than this part has come in
+AGE_PART = 0.15  # of what a limit's store has let in since it began empty, so much is kept at the most
 
 
 class Limits:
