Print the assertion and output of a listed failure; fail a run whose list is stale

What was seen: three entries of KNOWN-RED.txt say that the assertion was not noted. Cause: the conftest turns a listed test's failure into `xfailed`, for which pytest prints no traceback.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,16 @@
     return {line.removeprefix("test: ").strip() for line in lines if line.startswith("test: ")}
 
 
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """End a run of the whole suite whose list names a test that does not exist."""
+    if config.args_source is not pytest.Config.ArgsSource.TESTPATHS:
+        return
+    missing = known_red() - {item.nodeid for item in items}
+    if missing:
+        raise pytest.UsageError(f"KNOWN-RED.txt lists tests that do not exist: {', '.join(sorted(missing))}")
+
+
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(
     item: pytest.Item, call: pytest.CallInfo[None]
@@ -31,7 +41,7 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the listed tests, and which of them failed."""
+    """Print the listed tests, and which of them failed; `--xfail-tb` prints their assertions and output."""
     listed = known_red()
     if not listed:
         return
