Count rejections and failures by their reason

Cause: the scheduler gives requests up in seven places, and overload, shutdown and the deadline guard in three more, and STATS had one figure for all of them. Two tests of test_rules.py and the one of STATS state the reason too, which makes them stricter; core/test_engine.py has a new one.

--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -19,7 +19,7 @@
 from shaletiller.core.admit import AdmitRequest
 from shaletiller.core.forward import AttemptSender
 from shaletiller.core.interfaces import EngineServices, NoServices
-from shaletiller.core.metrics import Counters
+from shaletiller.core.metrics import Counters, GuardReason
 from shaletiller.core.model import (
     Attempt,
     AttemptResult,
@@ -37,6 +37,7 @@
     CloseIdleConnections,
     Fail,
     FetchEndpointList,
+    GiveUpReason,
     Reject,
     SendAttempt,
     SendHealthCheck,
@@ -240,18 +241,20 @@
     def respond_to_all(self) -> None:
         """Respond to every request that is in flight, for the process ends."""
         for exchange in list(self.exchanges.values()):
-            self._end_unanswered(exchange, "the process ends")
+            self._end_unanswered(exchange, GuardReason.SHUTDOWN, "the process ends")
 
     def _guard_deadline(self, exchange: Exchange) -> None:
         """Respond to a request that has no response when its deadline has passed."""
-        self._end_unanswered(exchange, "its deadline has passed")
+        self._end_unanswered(exchange, GuardReason.DEADLINE_GUARD, "its deadline has passed")
 
-    def _end_unanswered(self, exchange: Exchange, reason: str) -> None:
+    def _end_unanswered(self, exchange: Exchange, reason: GuardReason, explanation: str) -> None:
         if exchange.ended:
             return
         self.respond.give_up(exchange)
         result = exchange.result.name.lower() if exchange.result is not None else "unknown"
-        logger.warning("request %s: no response but %s: %s", exchange.call.id, reason, result)
+        if exchange.result is not None:
+            self.counters.count_reason(exchange.result, reason)
+        logger.warning("request %s: no response but %s: %s", exchange.call.id, explanation, result)
         for attempt in exchange.attempts:
             self.attempts.stop(attempt, Outcome.TIMEOUT)
         self.notify(ClientDisconnected(exchange.call.id))
@@ -273,15 +276,18 @@
 
     def _reject(self, action: Reject) -> None:
         response = FinalResponse(FinalResult.REJECTED, retry_after_ms=action.retry_after_ms)
-        self._end(action.request, response)
+        self._end(action.request, response, action.reason)
 
     def _fail(self, action: Fail) -> None:
-        self._end(action.request, FinalResponse(FinalResult.FAILED))
+        self._end(action.request, FinalResponse(FinalResult.FAILED), action.reason)
 
-    def _end(self, request: str, response: FinalResponse) -> None:
+    def _end(self, request: str, response: FinalResponse, reason: GiveUpReason) -> None:
         exchange = self.exchanges.get(request)
-        if exchange is not None:
-            self.respond(exchange, response)
+        if exchange is None or exchange.finished:
+            return
+        self.counters.count_reason(response.result, reason)
+        logger.debug("request %s: %s: %s", request, response.result.name.lower(), reason)
+        self.respond(exchange, response)
 
     def _cancel_attempt(self, action: CancelAttempt) -> None:
         # Found among the attempts in flight: one may be cancelled after its request has ended.
--- a/shaletiller/core/metrics.py
+++ b/shaletiller/core/metrics.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 from shaletiller.core.model import FinalResult
+from shaletiller.messages.actions import GiveUpReason
 
 # The words of the operators' STATS lines.
 RESULT_WORDS = {
@@ -11,6 +14,18 @@
     FinalResult.FAILED: "aborted",
 }
 RESULTS_PREFIX = "results."
+REASONS_PREFIX = "reasons."
+
+
+class GuardReason(StrEnum):
+    """Why the gateway rejected or failed a request without a decision of the scheduler."""
+
+    OVERLOAD = "overload"
+    """Its connection waited unread for too long."""
+    SHUTDOWN = "shutdown"
+    """It came so late that the process ends before its timeout, or the process ended before its answer."""
+    DEADLINE_GUARD = "deadline_guard"
+    """The scheduler had not answered it by its deadline."""
 
 
 class Counters(dict[str, int]):
@@ -24,9 +39,13 @@
         """Count one final result of a request class."""
         self.increment(f"{RESULTS_PREFIX}{request_class}.{RESULT_WORDS[result]}")
 
+    def count_reason(self, result: FinalResult, reason: GiveUpReason | GuardReason) -> None:
+        """Count why one request was rejected or failed."""
+        self.increment(f"{REASONS_PREFIX}{RESULT_WORDS[result]}.{reason}")
+
 
 def stats_lines(counters: Counters, classes: list[str], gauges: dict[str, int]) -> list[str]:
-    """The lines `edge.NAME=VALUE` of the operators' STATS.
+    """The lines `edge.NAME=VALUE` of the operators' STATS; a reason is listed once it was counted.
 
     :param classes: the request classes in force; classes that were counted before are listed after them.
     """
@@ -36,4 +55,6 @@
         for word in RESULT_WORDS.values():
             name = f"{RESULTS_PREFIX}{request_class}.{word}"
             lines.append(f"edge.{name}={counters.get(name, 0)}")
-    return lines + [f"edge.{name}={value}" for name, value in gauges.items()]
+    lines += [f"edge.{name}={value}" for name, value in gauges.items()]
+    reasons = sorted(name for name in counters if name.startswith(REASONS_PREFIX))
+    return lines + [f"edge.{name}={counters[name]}" for name in reasons]
--- a/shaletiller/messages/actions.py
+++ b/shaletiller/messages/actions.py
@@ -6,12 +6,33 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from math import inf
 
 from shaletiller.messages.base import Message
 from shaletiller.messages.timers import Timer
 
 
+class GiveUpReason(StrEnum):
+    """Why the scheduler gives a request up; the values are part of the operators' STATS."""
+
+    RATE_LIMIT = "rate_limit"
+    """Its volume's rate limit does not allow it."""
+    NO_CAPACITY = "no_capacity"
+    """Its node cannot take it now, and it cannot wait for it."""
+    LATE = "late"
+    """It waited, and would miss its latency objective."""
+    UNREACHED = "unreached"
+    """No node has received it, and its client still has time to retry elsewhere."""
+    RETRY_NOT_ALLOWED = "retry_not_allowed"
+    """Its class's effect or the retry budget allows no further attempt."""
+    NO_RETRY_LEFT = "no_retry_left"
+    """Its attempt failed, and no further one is possible in its time or within the limit of attempts."""
+    DEADLINE = "deadline"
+    """It would pass its deadline before the next round."""
+    UNKNOWN = "unknown"
+
+
 class SendAttempt(Message, frozen=True):
     """Start an attempt of a request at a node.
 
@@ -29,16 +50,22 @@
     """Final answer: rejected, and a retry by the client does no harm.
 
     :param retry_after_ms: what Retry-After tells the client; 0 tells it nothing.
+    :param reason: counted, never sent.
     """
 
     request: str
     retry_after_ms: float = 0.0
+    reason: GiveUpReason = GiveUpReason.UNKNOWN
 
 
 class Fail(Message, frozen=True):
-    """Final answer: failed, and a node may have done some of the work."""
+    """Final answer: failed, and a node may have done some of the work.
+
+    :param reason: counted, never sent.
+    """
 
     request: str
+    reason: GiveUpReason = GiveUpReason.UNKNOWN
 
 
 class CancelAttempt(Message, frozen=True):
--- a/shaletiller/net/http_server.py
+++ b/shaletiller/net/http_server.py
@@ -16,6 +16,7 @@
 from shaletiller.clock import Clock
 from shaletiller.core.engine import Engine
 from shaletiller.core.errors import BadRequestError
+from shaletiller.core.metrics import GuardReason
 from shaletiller.core.model import ClientCall, FinalResponse, FinalResult
 from shaletiller.net import connection_limits as limits
 from shaletiller.net.body import MAX_BODY_BYTES, read_bounded
@@ -272,6 +273,7 @@
     def _reject_expired(self, request: web.BaseRequest) -> FinalResponse:
         """Reject a request that has no time left here; the next process may have some."""
         self._engine.count_result(request.headers.get("Request-Class", ""), FinalResult.REJECTED)
+        self._engine.counters.count_reason(FinalResult.REJECTED, GuardReason.SHUTDOWN)
         return FinalResponse(FinalResult.REJECTED, retry_after_ms=MIN_SHUTDOWN_BUDGET_MS)
 
     def _error_response(self, request: web.BaseRequest, error: RequestRejectedError) -> web.Response:
@@ -290,3 +292,4 @@
 
     def _count_unread_rejection(self, head: bytes) -> None:
         self._engine.count_result(find_request_class(head), FinalResult.REJECTED)
+        self._engine.counters.count_reason(FinalResult.REJECTED, GuardReason.OVERLOAD)
--- a/shaletiller/policy/admission.py
+++ b/shaletiller/policy/admission.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from shaletiller.messages.actions import GiveUpReason
 from shaletiller.messages.events import Request
 from shaletiller.policy.capacity_check import CapacityCheck
 from shaletiller.policy.class_fairness import ClassFairness
@@ -44,7 +45,7 @@
         pending = PendingRequest.create(request, spec, volume, upstream, state.now_ms, UNREACHED_PART)
         state.pending[pending.id] = pending
         if not self.limits.check_rate_limit(pending):
-            self.completion.give_up(pending)
+            self.completion.give_up(pending, GiveUpReason.RATE_LIMIT)
         elif pending.spec.ordered and request.object_key:
             self.ordering.enqueue(pending)
         else:
@@ -63,7 +64,7 @@
             pending.queued = True
             queue.requests.append(pending)
         else:
-            self.completion.give_up(pending)
+            self.completion.give_up(pending, GiveUpReason.NO_CAPACITY)
 
     def may_queue(self, pending: PendingRequest, upstream: Upstream) -> bool:
         """Whether a request may wait: its class is owed work, or it has capacity and can be in time."""
--- a/shaletiller/policy/completion.py
+++ b/shaletiller/policy/completion.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from shaletiller.messages.actions import Fail, Reject
+from shaletiller.messages.actions import Fail, GiveUpReason, Reject
 from shaletiller.policy.key_ordering import KeyOrdering
 from shaletiller.policy.retries import client_may_retry
 from shaletiller.state.records import PendingRequest
@@ -18,12 +18,12 @@
     state: PolicyState
     ordering: KeyOrdering
 
-    def give_up(self, pending: PendingRequest) -> None:
+    def give_up(self, pending: PendingRequest, reason: GiveUpReason) -> None:
         """Answer a request that will not be served: rejected where a retry does no harm, else failed."""
         if client_may_retry(pending):
-            self.state.actions.append(Reject(pending.id, self._retry_after_ms()))
+            self.state.actions.append(Reject(pending.id, self._retry_after_ms(), reason))
         else:
-            self.state.actions.append(Fail(pending.id))
+            self.state.actions.append(Fail(pending.id, reason))
         self.finish(pending)
 
     def _retry_after_ms(self) -> float:
@@ -59,4 +59,4 @@
         for pending in list(self.state.pending.values()):
             waits = not pending.attempts_in_flight and not pending.response_started
             if waits and pending.deadline_ms <= last_ms:
-                self.give_up(pending)
+                self.give_up(pending, GiveUpReason.DEADLINE)
--- a/shaletiller/policy/dispatch.py
+++ b/shaletiller/policy/dispatch.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from shaletiller.messages.actions import SendAttempt, StartTimer
+from shaletiller.messages.actions import GiveUpReason, SendAttempt, StartTimer
 from shaletiller.messages.timers import AttemptOverdueTimer
 from shaletiller.policy.capacity_check import CapacityCheck
 from shaletiller.policy.class_fairness import ClassFairness
@@ -58,7 +58,7 @@
         """
         for queue in upstream.by_priority:
             while queue.requests and self._would_be_late(queue.requests[0]):
-                self.completion.give_up(queue.requests[0])
+                self.completion.give_up(queue.requests[0], GiveUpReason.LATE)
 
     def _would_be_late(self, pending: PendingRequest) -> bool:
         expected_ms = pending.upstream.latency_ms * self.state.latency.request_factor(pending)
@@ -69,7 +69,7 @@
         next_round_ms = self.state.next_round_ms
         for queue in upstream.by_priority:
             for pending in [each for each in queue.requests if each.unreached_deadline_ms < next_round_ms]:
-                self.completion.give_up(pending)
+                self.completion.give_up(pending, GiveUpReason.UNREACHED)
 
     def _share_leftover(self, upstream: Upstream, batch: list[PendingRequest]) -> None:
         """Give capacity that is left over to queues at random, each in proportion to its slots."""
@@ -102,7 +102,7 @@
         pending.queued = False
         if pending.attempts_started:
             if not (self.retries.idempotency_allows(pending) and self.retries.budget_allows()):
-                self.completion.give_up(pending)
+                self.completion.give_up(pending, GiveUpReason.RETRY_NOT_ALLOWED)
                 return
             self.retries.record_retry()
         else:
--- a/shaletiller/policy/outcomes.py
+++ b/shaletiller/policy/outcomes.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from shaletiller.messages.actions import CancelAttempt
+from shaletiller.messages.actions import CancelAttempt, GiveUpReason
 from shaletiller.messages.events import AttemptEnded, ResponseStarted
 from shaletiller.messages.outcomes import Outcome
 from shaletiller.messages.timers import AttemptOverdueTimer
@@ -104,7 +104,7 @@
             pending.queued = True
             pending.queue.requests.appendleft(pending)
         else:
-            self.completion.give_up(pending)
+            self.completion.give_up(pending, GiveUpReason.NO_RETRY_LEFT)
 
     def response_started(self, event: ResponseStarted) -> None:
         """Leave a request whose response has begun to its client: it is neither hedged nor given up."""
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -10,9 +10,10 @@
 from shaletiller.clock import SettableClock
 from shaletiller.core.engine import Engine
 from shaletiller.core.errors import BadRequestError
+from shaletiller.core.metrics import stats_lines
 from shaletiller.core.model import AttemptResult, ClientCall, Exchange, FinalResponse, FinalResult
 from shaletiller.core.route import Endpoint
-from shaletiller.messages.actions import Action, Fail, Reject, SendAttempt, SendHealthCheck
+from shaletiller.messages.actions import Action, Fail, GiveUpReason, Reject, SendAttempt, SendHealthCheck
 from shaletiller.messages.endpoints import EndpointState, UpdateKind
 from shaletiller.messages.events import AttemptEnded, Event, HealthCheckEnded
 from shaletiller.messages.outcomes import Outcome
@@ -170,6 +171,24 @@
         await self.settle()
         self.assertEqual([each.result for each in self.answers], [FinalResult.FAILED, FinalResult.REJECTED])
 
+    async def test_each_rejection_and_failure_is_counted_by_its_reason(self) -> None:
+        """The scheduler rejects one request, then fails it; the guard answers another.
+
+        Each answered request counts once.  Guards against rejections that nobody can tell apart.
+        """
+        await self.call(CALL)
+        self.engine._reject(Reject("r1", 250, GiveUpReason.LATE))
+        self.engine._fail(Fail("r1", GiveUpReason.DEADLINE))
+        await self.call(WRITE)
+        self.engine._scheduler.handle = lambda now_ms, event: []  # type: ignore[method-assign]
+        self.clock.advance(420)
+        await self.settle()
+        lines = stats_lines(self.engine.counters, [], {})
+        self.assertEqual(
+            [line for line in lines if line.startswith("edge.reasons.")],
+            ["edge.reasons.aborted.deadline_guard=1", "edge.reasons.declined.late=1"],
+        )
+
     async def test_the_result_of_a_health_check_is_an_event(self) -> None:
         """The scheduler requests a health check and is notified of its result."""
         self.engine._send_health_check(SendHealthCheck("n1"))
--- a/tests/gateway/test_operators.py
+++ b/tests/gateway/test_operators.py
@@ -144,6 +144,7 @@
                 "edge.ejected": "0",
                 "edge.sighup_applied": "0",
                 "edge.sighup_rejected": "0",
+                "edge.reasons.aborted.retry_not_allowed": "1",
             },
         )
 
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from shaletiller.messages.actions import Action, Fail, Reject, SendAttempt, WatchEndpoints
+from shaletiller.messages.actions import Action, Fail, GiveUpReason, Reject, SendAttempt, WatchEndpoints
 from shaletiller.messages.endpoints import EndpointState, UpdateKind
 from shaletiller.messages.events import (
     ClientDisconnected,
@@ -354,9 +354,9 @@
         )
         gateway.run_to(40)
         gateway.request("r1", deadline_in_ms=50.0)
-        assert gateway.finals("r1") == [Reject("r1", wait_ms)]
+        assert gateway.finals("r1") == [Reject("r1", wait_ms, GiveUpReason.NO_CAPACITY)]
     gateway = ScriptedGateway(
         entry(state=EndpointState.DRAINING), retry_after_allowed=True, max_retry_after_ms=50.0
     )
     gateway.request("r1", deadline_in_ms=50.0)
-    assert gateway.finals("r1") == [Reject("r1", 50.0)]
+    assert gateway.finals("r1") == [Reject("r1", 50.0, GiveUpReason.NO_CAPACITY)]
