Time out and evict no connection that has no transport yet

What callers saw: a client that connected while the process stood still for 2.2 s got neither an answer nor an end. Nothing looked at it again. An eviction did the same.

--- a/shaletiller/net/client_connection.py
+++ b/shaletiller/net/client_connection.py
@@ -205,6 +205,11 @@
             self.arrivals_ms.extend([self._owner.clock.now_ms()] * received)
             self._wake_task()
 
+    @property
+    def has_started(self) -> bool:
+        """Whether it has a transport: without one it cannot be closed, and its client would see no end."""
+        return self.transport is not None
+
     # ---- fast path
 
     @property
--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -84,7 +84,7 @@
 
         def is_evictable(connection: ClientConnection) -> bool:
             evictable_after_ms = EVICTABLE_AFTER_MS.get(connection.state, math.inf)
-            return now_ms - connection.state_since_ms >= evictable_after_ms
+            return connection.has_started and now_ms - connection.state_since_ms >= evictable_after_ms
 
         idle_last = sorted(
             self.open,
@@ -107,7 +107,7 @@
             if connection.state is ConnectionState.IDLE:
                 if age_ms >= idle_timeout_ms and not has_unread_input(connection.transport):
                     connection.time_out()
-            elif age_ms >= limits.REQUEST_TIMEOUT_MS:
+            elif age_ms >= limits.REQUEST_TIMEOUT_MS and connection.has_started:
                 self._time_out_request(connection)
 
     def _time_out_request(self, connection: ClientConnection) -> None:
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -18,6 +18,7 @@
 
 import uvloop
 
+from shaletiller.net import connection_limits as limits
 from shaletiller.net.admin import AdminServer
 from shaletiller.net.client_connection import ClientConnection
 from shaletiller.net.nvme import capsules, commands
@@ -315,6 +316,37 @@
             await wire.end()
         await until(lambda: not self.gateway.http_server.connections, "the connection's end")
 
+    async def test_a_connection_that_is_starting_as_the_process_stalls_is_answered(self) -> None:
+        """The process stands still for longer than a request may take while a connection is being started.
+
+        Its client must be answered.  Guards against clients that wait for ever after a stall.
+        """
+        listener = self.gateway.http_server._listener
+        stall_ms = limits.REQUEST_TIMEOUT_MS + 1.0
+
+        def sweep_late() -> None:
+            listener.table.time_out(listener.clock.now_ms() + stall_ms, draining=False)
+
+        self.at(listener, "_start_connection", sweep_late, before=False)
+        wire = await self.wire()
+        await self.served(wire, 1)
+
+    async def test_a_connection_that_is_starting_is_not_evicted(self) -> None:
+        """Every place is taken, and the oldest connection is being started as the next one comes.
+
+        Its client must be answered: a connection without a transport cannot be ended, only forgotten.
+        """
+        listener = self.gateway.http_server._listener
+        evicted: list[bool] = []
+
+        def evict() -> None:
+            evicted.append(listener.table.evict(listener.clock.now_ms() + limits.REQUEST_TIMEOUT_MS))
+
+        self.at(listener, "_start_connection", evict, before=False)
+        wire = await self.wire()
+        await self.served(wire, 1)
+        self.assertEqual(evicted, [False])
+
     async def test_a_client_that_never_closes_a_half_closed_connection_holds_no_place(self) -> None:
         """A client does not close a connection that the gateway has half-closed.
 
