End no connection for its age while it has unread input

What callers saw: a 408 after a stall of the process, though all of their request had been sent in time. The new test failed before ("expect n1 GET 1: TimeoutError"). Change: unread input is looked for in this state as it was in the others; a head's size is bounded, so nobody stays by sending on. tests/net/test_endings.py and test_connection_table.py: 37 passed.

--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -111,11 +111,18 @@
                 self._time_out_request(connection)
 
     def _time_out_request(self, connection: ClientConnection) -> None:
-        if connection.state is ConnectionState.READING_HEAD:
-            connection.time_out()
-        elif connection.state is ConnectionState.NEW and not has_unread_input(connection.transport):
+        """End a connection whose request has not come, unless what came of it is still unread.
+
+        After a stall of this process the rest of a request may lie in the kernel.  A client that goes on
+        sending cannot stay for ever: the size of a head is bounded.
+        """
+        if connection.state not in (ConnectionState.READING_HEAD, ConnectionState.NEW):
+            return
+        if has_unread_input(connection.transport):
+            return
+        if connection.state is ConnectionState.NEW:
             self.remove(connection)
-            connection.time_out()
+        connection.time_out()
 
     def close_half_closed(self, now_ms: float) -> None:
         """Close the half-closed connections whose clients have closed too, or have had the time."""
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -20,7 +20,7 @@
 
 from shaletiller.net import connection_limits as limits
 from shaletiller.net.admin import AdminServer
-from shaletiller.net.client_connection import ClientConnection
+from shaletiller.net.client_connection import ClientConnection, ConnectionState
 from shaletiller.net.nvme import capsules, commands
 from shaletiller.net.nvme.queue import ControllerQueue
 from shaletiller.net.overload_control import AcceptedSocket
@@ -331,6 +331,23 @@
         wire = await self.wire()
         await self.served(wire, 1)
 
+    async def test_a_request_received_during_a_stall_is_not_timed_out(self) -> None:
+        """The process stands still for longer than a request may take, with half of a request's head read.
+
+        The rest arrives meanwhile.  Guards against a 408 to a client that was in time.
+        """
+        listener, wire = self.gateway.http_server._listener, await self.wire()
+        request = encode_request(1)
+        wire.send(request[:40])
+        await until(
+            lambda: [each.state for each in listener.table.open] == [ConnectionState.READING_HEAD],
+            "the first half to be read",
+        )
+        wire.send(request[40:])  # unread until this test gives way to the event loop
+        listener.table.time_out(listener.clock.now_ms() + limits.REQUEST_TIMEOUT_MS + 1.0, draining=False)
+        await self.play("expect n1 GET 1\nsend n1 200 ok")
+        self.assertEqual(await wire.answer(), (200, b"ok"))
+
     async def test_a_connection_that_is_starting_is_not_evicted(self) -> None:
         """Every place is taken, and the oldest connection is being started as the next one comes.
 
