Answer a request whose head has come in part as the process ends

What callers saw: at a planned restart a client that was sending a head found its connection closed without an answer. Cause: Listener.stop half-closes idle and new connections and waits for those that owe a response; a half-read head was neither, and aiohttp closed it at once.

--- a/shaletiller/net/client_connection.py
+++ b/shaletiller/net/client_connection.py
@@ -24,6 +24,7 @@
 from shaletiller.net.sockets import peer_has_closed, unacknowledged_bytes
 
 REQUEST_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+SHUTDOWN_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class ConnectionState(IntEnum):
@@ -359,12 +360,21 @@
         if self.state is ConnectionState.IDLE:
             self.half_close()
             return
-        reading = self.state is ConnectionState.READING_HEAD
-        if not reading or self.transport is None or self.transport.is_closing():
+        if self.state is ConnectionState.READING_HEAD:
+            self.end_partial_request(REQUEST_TIMEOUT_RESPONSE)
+        else:
+            self.force_close()
+
+    def end_partial_request(self, response: bytes) -> None:
+        """Answer a request of which a part has come, and let its client finish sending.
+
+        Without the linger the client would be reset and not see the response.
+        """
+        if self.transport is None or self.transport.is_closing():
             self.force_close()
             return
-        # The client is still sending: without the linger it would be reset and not see the error.
-        self.transport.write(REQUEST_TIMEOUT_RESPONSE)
+        self.transport.write(response)
+        self.state = _ON_ERROR_SENT[self.state]
         self._force_close = True
         if self._waiter is not None:
             self._waiter.cancel()
--- a/shaletiller/net/listener.py
+++ b/shaletiller/net/listener.py
@@ -16,7 +16,7 @@
 
 from shaletiller.clock import Clock, Timer
 from shaletiller.net import connection_limits as limits
-from shaletiller.net.client_connection import ClientConnection, ConnectionState, FastPath
+from shaletiller.net.client_connection import SHUTDOWN_RESPONSE, ClientConnection, ConnectionState, FastPath
 from shaletiller.net.connection_table import ConnectionTable
 from shaletiller.net.overload_control import AcceptedSocket, AcceptQueue, OverloadControl
 from shaletiller.net.sockets import has_input
@@ -248,6 +248,8 @@
         for connection in list(self.table.open):
             if connection.state in (ConnectionState.IDLE, ConnectionState.NEW):
                 connection.half_close()
+            elif connection.state is ConnectionState.READING_HEAD:
+                connection.end_partial_request(SHUTDOWN_RESPONSE)
         self._server.pre_shutdown()
         while self._owes_response and self.clock.now_ms() < deadline_ms:
             await asyncio.sleep(limits.SHUTDOWN_POLL_S)
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -521,6 +521,27 @@
         seen = set(self.parties["n1"].request_ids)
         self.assertEqual([each for each in unread if each in seen], [])  # forwarded, and lost
 
+    async def test_a_request_whose_head_is_half_received_at_the_end_is_rejected(self) -> None:
+        """The process ends while a client has sent half of a request's head; the rest follows at that moment.
+
+        It must get a 503 and an end in order.  Guards against a reset in place of an answer at a restart.
+        """
+        wire = await self.wire()
+        request = encode_request(1)
+        wire.send(request[:40])
+        table = self.gateway.http_server._listener.table
+        await until(
+            lambda: [each.state for each in table.open] == [ConnectionState.READING_HEAD],
+            "the first half to be read",
+        )
+        self.at(
+            self.gateway.http_server._listener._server, "pre_shutdown", lambda: wire.send(request[40:]), False
+        )
+        await asyncio.wait_for(self.stop(), TIMEOUT_S)
+        self.assertEqual((await wire.answer())[0], 503)
+        await wire.end()
+        self.assertEqual(self.requests_received, 0)
+
     async def test_accepted_connections_not_started_at_shutdown_are_rejected(self) -> None:
         """A connection is in the accept queue, with a request, as the process ends.
 
