Take the upstream's times and the shutdown's wait from the gateway's clock

Change: HttpUpstreamClient, its pool and its protocol get the clock; Clock.sleep, and Gateway.stop waits by it.

--- a/shaletiller/clock.py
+++ b/shaletiller/clock.py
@@ -39,6 +39,15 @@
         """
         return asyncio.get_running_loop().call_later(max(0.0, wait_ms) / 1000, call, *values)
 
+    async def sleep(self, wait_ms: float) -> None:
+        """Return after a wait; a negative one counts as none."""
+        done = asyncio.get_running_loop().create_future()
+        timer = self.call_later(wait_ms, done.set_result, None)
+        try:
+            await done
+        finally:
+            timer.cancel()
+
 
 class _ScheduledCall:
     """A timer of a settable clock."""
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -38,7 +38,7 @@
 
 # How long new connections are still accepted after SIGTERM: the platform goes on opening them for 0.2 to 0.4
 # s.  Empirical beyond that: twice as long allows for a slow machine, and delays the end of the process.
-ACCEPT_AFTER_SIGTERM_S = 0.75
+ACCEPT_AFTER_SIGTERM_MS = 750.0
 # The platform's SIGKILL comes at the earliest min(longest deadline of a class, MAX_KILL_DEADLINE_MS) and
 # KILL_GRACE_MS after SIGTERM.
 MAX_KILL_DEADLINE_MS = 3000.0
@@ -87,7 +87,7 @@
         # One client for all nodes that speak HTTP: sockets reserved for each node would add up over those
         # that leave.
         http_sockets = config.upstream_sockets // (2 if config.nvme.upstreams else 1)
-        self._http = HttpUpstreamClient(config.settings, http_sockets)
+        self._http = HttpUpstreamClient(config.settings, http_sockets, self._clock)
         self._nvme_clients = self._make_nvme_clients()
         self.discovery = DiscoveryClient(
             config.discovery,
@@ -334,7 +334,7 @@
         grace_ms = min(MAX_KILL_DEADLINE_MS, self._longest_deadline_ms) + KILL_GRACE_MS - KILL_MARGIN_MS
         ends_ms = self._clock.now_ms() + grace_ms
         self.http_server.shutdown_deadline_ms = ends_ms
-        await asyncio.sleep(min(ACCEPT_AFTER_SIGTERM_S, max(0.0, ends_ms - self._clock.now_ms()) / 1000))
+        await self._clock.sleep(min(ACCEPT_AFTER_SIGTERM_MS, grace_ms))
         self.http_server.stop_accepting()
         if self.nvme is not None:
             self.nvme.shut()
--- a/shaletiller/net/http_upstream.py
+++ b/shaletiller/net/http_upstream.py
@@ -7,7 +7,6 @@
 import logging
 import math
 import re
-import time
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -17,6 +16,7 @@
 from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
 from yarl import URL
 
+from shaletiller.clock import Clock
 from shaletiller.core.model import AttemptResult, ClientCall
 from shaletiller.messages.outcomes import Outcome
 from shaletiller.net.body import MAX_BODY_BYTES, read_bounded
@@ -103,10 +103,11 @@
 class HttpUpstreamClient:
     """The `UpstreamClient` for HTTP: one client session for all nodes."""
 
-    def __init__(self, settings: Settings, max_connections: int) -> None:
+    def __init__(self, settings: Settings, max_connections: int, clock: Clock) -> None:
         """Make a client that connects at the first attempt."""
         self._settings = settings
         self._max_connections = max_connections
+        self._clock = clock
         self._open_session: aiohttp.ClientSession | None = None
 
     @property
@@ -117,7 +118,9 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._open_session is None:  # made late, for it needs the running loop
             self._open_session = aiohttp.ClientSession(
-                connector=UpstreamConnector(self._max_connections, self.max_per_node, self._idle_timeout_s),
+                connector=UpstreamConnector(
+                    self._max_connections, self.max_per_node, self._idle_timeout_s, self._clock
+                ),
                 middlewares=(never_resend,),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
@@ -296,10 +299,10 @@
         """
         if (
             not isinstance(protocol, UpstreamProtocol)
-            or protocol.response_read_s <= protocol.request_written_s
+            or protocol.response_read_ms <= protocol.request_written_ms
         ):
             return None
-        return (protocol.response_read_s - protocol.request_written_s) * 1000
+        return protocol.response_read_ms - protocol.request_written_ms
 
     def _result(
         self,
@@ -335,7 +338,7 @@
     async def probe(self, address: str) -> AttemptResult:
         """Check a node's health, and read its load report where the settings name one."""
         path = "/metrics/load" if self._settings.load_report_fields else "/alive"
-        started_s = time.monotonic()
+        started_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(self._settings.connect_timeout_ms / 1000):
                 async with self._session().get(URL(f"http://{address}{path}", encoded=True)) as response:
@@ -350,7 +353,7 @@
             return AttemptResult(Outcome.TIMEOUT)
         except Exception:
             # Any type: whatever a node sends, its health check has failed, and the checks go on.
-            elapsed_ms = (time.monotonic() - started_s) * 1000
+            elapsed_ms = self._clock.now_ms() - started_ms
             logger.warning("node %s: health check failed after %.0f ms", address, elapsed_ms, exc_info=True)
             return AttemptResult(Outcome.CONNECT_FAILED)
 
--- a/shaletiller/net/pool.py
+++ b/shaletiller/net/pool.py
@@ -19,6 +19,7 @@
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
+from shaletiller.clock import Clock
 from shaletiller.net.sockets import has_unread_input
 
 # A connection is not used again for this long after its response: whatever a faulty node sends behind the
@@ -57,9 +58,14 @@
     between which the node had the request exclude this process's own delays.
     """
 
-    request_written_s = response_read_s = 0.0  # by the monotonic clock; read: the last bytes so far
+    request_written_ms = response_read_ms = 0.0  # read: the last bytes so far
     connection_key: ConnectionKey | None = None
 
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
+        """Make a protocol that is not connected yet."""
+        super().__init__(loop=loop)
+        self._now_ms = clock.now_ms
+
     def close(self) -> None:
         """Close the connection, and stop sending.
 
@@ -73,7 +79,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what was received, without trailing noise."""
-        self.response_read_s = time.monotonic()
+        self.response_read_ms = self._now_ms()
         response = strip_trailing_noise(data) if len(data) > 1 else data
         super().data_received(response)
         if len(response) < len(data):
@@ -87,7 +93,7 @@
     response would then be taken for the response to the next request.
     """
 
-    def __init__(self, max_connections: int, max_per_node: int, idle_timeout_s: float) -> None:
+    def __init__(self, max_connections: int, max_per_node: int, idle_timeout_s: float, clock: Clock) -> None:
         """Make an empty pool.
 
         :param idle_timeout_s: an idle connection is not used after this.
@@ -99,7 +105,8 @@
             ssl=False,
             keepalive_timeout=idle_timeout_s,
         )
-        self._factory: Any = functools.partial(UpstreamProtocol, loop=asyncio.get_running_loop())
+        self._factory: Any = functools.partial(UpstreamProtocol, loop=asyncio.get_running_loop(), clock=clock)
+        self._clock = clock
         self._max_connections = max_connections
         self._idle_timeout_s = idle_timeout_s
         self._keys: dict[str, ConnectionKey] = {}  # by address, of nodes to which there has been a connection
@@ -140,7 +147,7 @@
         if idle is not None and not idle:
             del self._conns[key]
         if acquired is not None:
-            acquired.request_written_s, acquired.connection_key = now_s, key
+            acquired.request_written_ms, acquired.connection_key = self._clock.now_ms(), key
             self._acquired.add(acquired)
             self._acquired_per_host[key].add(acquired)
         return acquired
@@ -162,7 +169,7 @@
         assert isinstance(protocol, UpstreamProtocol)
         key = args[0].connection_key
         self._keys[f"{key.host}:{key.port}"] = key
-        protocol.request_written_s = time.monotonic()  # its request is written right away
+        protocol.request_written_ms = self._clock.now_ms()  # its request is written right away
         return protocol
 
     def close_idle(self, address: str) -> None:
