Reserve the ports of test gateways instead of probing them

Cause: a probed port is free again until its gateway listens, and again between a kill and a restart. Ports of the laboratory came from a block by process id, so runs whose ids are equal modulo 110 took the same ones, and gateways listen with SO_REUSEPORT; tests/gateway took a port of the kernel's own range. Change: a port is bound exclusively by a socket that never listens and stays until the run ends; the options set behind the bind let the run's own listeners in.

--- a/shaletiller/lab/cli.py
+++ b/shaletiller/lab/cli.py
@@ -28,7 +28,7 @@
     site_variants,
     state_space_explorer,
 )
-from shaletiller.lab.gateway_processes import LabError
+from shaletiller.lab.errors import LabError
 from shaletiller.lab.guarantees import Outcome
 from shaletiller.lab.state_space_bounds import DEFAULT_TASKS
 
--- a/shaletiller/lab/fleet_testbed.py
+++ b/shaletiller/lab/fleet_testbed.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import socket
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,9 +11,11 @@
 
 from shaletiller.fleet.quotas import Allowance
 from shaletiller.fleet.rendezvous import highest_ranked
+from shaletiller.lab.errors import LabError
 from shaletiller.lab.faulty_links import FaultyLinks
-from shaletiller.lab.gateway_processes import GatewayProcess, LabError, free_port
+from shaletiller.lab.gateway_processes import GatewayProcess
 from shaletiller.lab.load_generator import LoadGenerator, Stream
+from shaletiller.lab.port_reservations import reserve_port
 from shaletiller.lab.scenario import Fault, FaultVerb
 from shaletiller.lab.stand_in_discovery import StandInDiscovery
 from shaletiller.lab.storage_nodes import StorageNode, now_ms
@@ -148,8 +149,7 @@
         for node in self.nodes:
             await node.start(self.names)
         await self.discovery.start(self.names)
-        kind = socket.SOCK_STREAM if self.carrier == "tcp" else socket.SOCK_DGRAM
-        listening_ports = {name: free_port(kind) for name in self.names}
+        listening_ports = {name: reserve_port() for name in self.names}
         if self.carrier == "tcp":
             await self.links.start_tcp(listening_ports)
         else:
--- a/shaletiller/lab/gateway_processes.py
+++ b/shaletiller/lab/gateway_processes.py
@@ -3,30 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
 import math
 import os
 import shutil
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from shaletiller.lab.errors import LabError
+from shaletiller.lab.port_reservations import LOOPBACK, reserve_port
 from shaletiller.lab.storage_nodes import now_ms
 
 ROOT = Path(__file__).parent.parent.parent
-LOOPBACK = "127.0.0.1"
 # Empirical: a process that is not ready by then has failed; longer delays the report of that, shorter fails
 # runs on a busy machine.
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.02
-# Ports below those that Linux gives to outgoing connections; each laboratory process begins at a block of its
-# own.
-FIRST_PORT, END_PORT, PORTS_PER_BLOCK = 10_000, 32_000, 200
-# Ports tried before giving up, in blocks.
-MAX_BLOCKS = 10
 # Empirical: the admin port answers in milliseconds; shorter fails runs on a busy machine.
 CALL_TIMEOUT_S = 3.0
 # A process that shuts down accepts new connections for about this long.
@@ -37,33 +31,6 @@
 LOG_TAIL_CHARACTERS = 500
 
 
-class LabError(Exception):
-    """The laboratory could not complete a run; nothing was shown either way."""
-
-
-_port_offsets = itertools.count()
-
-
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a port that is free, and that neither the kernel nor another laboratory gives to something else.
-
-    Gateways listen with SO_REUSEPORT, so two that were given the same port would share it silently.
-
-    :raises LabError: if none is free.
-    """
-    ports = END_PORT - FIRST_PORT
-    first = os.getpid() % (ports // PORTS_PER_BLOCK) * PORTS_PER_BLOCK
-    while (offset := next(_port_offsets)) < MAX_BLOCKS * PORTS_PER_BLOCK:
-        port = FIRST_PORT + (first + offset) % ports
-        with socket.socket(type=kind) as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return port
-    raise LabError("no free port")
-
-
 class Downtime(NamedTuple):
     """A span in which a process could not run: killed, suspended, or starting."""
 
@@ -93,7 +60,7 @@
         """
         self.name, self.folder = name, folder
         folder.mkdir(parents=True, exist_ok=True)
-        self.port, self.admin_port = free_port(), free_port()
+        self.port, self.admin_port = reserve_port(), reserve_port()
         self.operator_path = folder / "operator.kdl"
         self.write_operator(operator)
         self._config_path = folder / "config.json"
--- a/shaletiller/lab/replication_scenarios.py
+++ b/shaletiller/lab/replication_scenarios.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+from shaletiller.lab.errors import LabError
 from shaletiller.lab.fleet_testbed import SHARDS, FleetTestbed
-from shaletiller.lab.gateway_processes import LabError
 from shaletiller.lab.guarantees import Outcome
 from shaletiller.lab.load_generator import ClientRequest, LoadGenerator, Stream
 from shaletiller.lab.replication_guarantees import check_run
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -15,6 +15,7 @@
 import unittest
 from pathlib import Path
 
+from shaletiller.lab.port_reservations import reserve_port
 from shaletiller.net.peers import PeerEndpoint
 from tests.net.test_endings import RawClient, encode_request
 from tests.support.scenario import SETTINGS, VOLUME, read_message
@@ -22,12 +23,6 @@
 ROOT = Path(__file__).parent.parent.parent
 
 
-def free_port() -> int:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return int(found.getsockname()[1])
-
-
 async def start_gateway(config_file: Path, stderr: int) -> asyncio.subprocess.Process:
     """Start a gateway process with this configuration file."""
     return await asyncio.create_subprocess_exec(
@@ -99,7 +94,7 @@
 
         It must still accept clients and reload for a while after the signal, and then end with exit code 0.
         """
-        port = free_port()
+        port = reserve_port()
         row = {"id": "n1", "addr": "127.0.0.1:1", "cell": 0}
         config_document = {
             "listen": f"127.0.0.1:{port}",
@@ -141,7 +136,7 @@
         Each must get its response before the process ends with exit code 0, and no request may be forwarded
         whose response is lost.
         """
-        port, files = free_port(), tempfile.TemporaryDirectory()
+        port, files = reserve_port(), tempfile.TemporaryDirectory()
         self.addCleanup(files.cleanup)
         requests_received: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         request_ids: set[str] = set()
@@ -270,7 +265,7 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
             other.bind(("127.0.0.1", 0))
             other.settimeout(3.0)
-            addresses = (("127.0.0.1", free_port()), other.getsockname())
+            addresses = (("127.0.0.1", reserve_port()), other.getsockname())
             received: asyncio.Queue[tuple[int, str]] = asyncio.Queue()
             peers = PeerEndpoint(
                 addresses, addresses[1], lambda peer, data: received.put_nowait((peer, data))
--- a/tests/replication/test_replication_process.py
+++ b/tests/replication/test_replication_process.py
@@ -11,8 +11,8 @@
 import pytest
 
 from shaletiller.lab import replication_scenarios, scenario
+from shaletiller.lab.errors import LabError
 from shaletiller.lab.fleet_testbed import FleetTestbed
-from shaletiller.lab.gateway_processes import LabError
 from shaletiller.lab.load_generator import ClientRequest, LoadGenerator, Stream
 from shaletiller.lab.storage_nodes import now_ms
 from shaletiller.net.links import Link, Links
