Play two scenarios on the settable clock: the graceful shutdown, and the connections to one node

Cause, shutdown: its third request had to come within 150 ms of real time after two waits of 0.9 s together. Change: `@on_settable_clock` gives a scenario a gateway whose time passes by `wait` alone. The shutdown's bounds are now met to the millisecond: accepting at 749 and not at 750 ms, forwarding at 1,050 and not at 1,051, the end at 1,350; one request more than before. The connections test waits until each request has its connection or waits for one, asserts the kernel's count too, and gives connecting a minute.

--- a/tests/net/test_scenarios_http.py
+++ b/tests/net/test_scenarios_http.py
@@ -19,7 +19,16 @@
 from shaletiller.net.http_upstream import HttpUpstreamClient
 from shaletiller.net.overload_control import AcceptedSocket
 from shaletiller.net.pool import UpstreamConnector
-from tests.support.scenario import SETTINGS, TIMEOUT_S, VOLUME, Scenario, Server, read_message
+from tests.net.test_endings import connections_to, until
+from tests.support.scenario import (
+    SETTINGS,
+    TIMEOUT_S,
+    VOLUME,
+    Scenario,
+    Server,
+    on_settable_clock,
+    read_message,
+)
 
 
 class Forwarding(Scenario):
@@ -237,27 +246,33 @@
         first = (await asyncio.wait_for((await self.party("d")).received.get(), 0.2))[0]
         self.assertTrue(first.startswith("GET /discovery/hosts?since=2&"), first)
 
+    @on_settable_clock
     async def test_a_graceful_shutdown_answers_requests_in_progress_and_serves_open_connections(self) -> None:
         """A graceful shutdown begins while a request is in progress.
 
         New connections are accepted for a while and open ones served until shortly before the end; every
-        request must get its response, and nothing is forwarded too late to be answered.
+        request must get its response, and nothing is forwarded too late to be answered.  The process ends
+        1,350 ms after the signal, and forwards what comes until 300 ms before that.
         """
         await self.play("send c1 GET 1 timeout=5000\nexpect n1 GET 1")
         stop = asyncio.ensure_future(self.gateway.stop())
+        await asyncio.sleep(0)  # it begins
         await self.play(
-            "wait 400\nsend c2 GET 2 timeout=5000\nexpect n1 GET 2\nsend n1 200 late\nexpect c2 200 late"
+            "wait 749\nsend c2 GET 2 timeout=5000\nexpect n1 GET 2\nsend n1 200 late\nexpect c2 200 late"
         )
-        await self.play("wait 500")
+        await self.play("wait 1")
         with self.assertRaises(ConnectionError):
             await asyncio.open_connection(*self.gateway.http_server.address)
         node = await self.party("n1")
         node.current = next(writer for writer in node.writers if writer is not node.current)
         await self.play(
             "send n1 200 data\nexpect c1 200 data\nsend c2 GET 3 timeout=5000\nexpect n1 GET 3\n"
-            "send n1 200 on\nexpect c2 200 on\nwait 150\nsend c1 PUT 4 x\nexpect c1 503\n"
-            "expect n1 nothing\nexpect c2 end"
+            "send n1 200 on\nexpect c2 200 on\nwait 300\n"
+            "send c2 GET 5 timeout=5000\nexpect n1 GET 5\nsend n1 200 still\nexpect c2 200 still\n"
+            "wait 1\nsend c1 PUT 4 x\nexpect c1 503\nexpect n1 nothing\nwait 299"
         )
+        await until(lambda: self.gateway.http_server._closing, "the last responses")
+        await self.play("expect c2 end\nwait 125")
         await asyncio.wait_for(stop, TIMEOUT_S)
 
     async def test_a_graceful_shutdown_answers_requests_that_would_outlast_it(self) -> None:
@@ -618,19 +633,28 @@
             self.assertTrue(listener._free_place())
             await self.play("expect c0 200\nexpect c1 end")
 
+    @on_settable_clock
     async def test_the_connections_to_one_node_are_bounded(self) -> None:
         """More requests are in progress than a node may have connections.
 
         The rest must wait for one, and no more connections be opened.
         """
+        self.allow_any_connect_time()
         most = self.gateway._http.max_per_node
         for number in range(most + 2):
             await self.play(f"send c{number} GET {number}")
-        await self.play("wait 100")
         node = await self.party("n1")
-        self.assertEqual((len(node.writers), node.received.qsize()), (most, most))
-        await self.play("expect n1 GET 0\nsend n1 200\nexpect c0 200\nwait 50")
-        self.assertEqual(node.received.qsize(), most)
+        connector = self.gateway._http._session().connector
+        assert connector is not None
+        # All attempts are accounted for then: those with a connection, and those that wait for one.
+        await until(
+            lambda: node.received.qsize() == most and sum(map(len, connector._waiters.values())) == 2,
+            "the requests in progress and the waiting ones",
+        )
+        self.assertEqual((len(node.writers), connections_to(node.port)), (most, most))
+        await self.play("expect n1 GET 0\nsend n1 200\nexpect c0 200")
+        await until(lambda: node.received.qsize() == most, "the first that waited")
+        self.assertEqual(sum(map(len, connector._waiters.values())), 1)
         self.assertLessEqual(len(node.writers), most + 1)  # one may still be settling after its response
 
 
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -14,7 +14,7 @@
     expect b1 disconnected 7            the gateway has closed the connection of that command
     send d n1=leaving                   discovery sends a change of the endpoint list
     reload d2                           the configuration names another discovery from now on
-    wait 200                            milliseconds
+    wait 200                            milliseconds, by the gateway's clock
     send a1 DISABLE n1 | expect a1 done n1    an operator's call, on a connection of its own, and its response
 
 Names that start with c are HTTP clients, n HTTP storage nodes (shard by number), v NVMe hosts, b NVMe storage
@@ -24,15 +24,18 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import re
 import shlex
 import struct
 import tempfile
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+from shaletiller.clock import Clock, SettableClock
 from shaletiller.config import NvmeNamespace, NvmeTargetConfig, read_config, read_config_again
 from shaletiller.core.model import ClientCall, Exchange, FinalResponse, FinalResult
 from shaletiller.gateway import Gateway
@@ -44,6 +47,8 @@
 from shaletiller.net.nvme.target import NvmeTarget
 
 TIMEOUT_S = 3.0
+START_MS = 1.8e12  # the time at which a settable clock begins
+LOOP_TURNS = 10  # of the event loop, in which the coroutines that waited for a settable clock run
 VOLUME = "00000003b4d60021"
 SUBSYSTEM = "nqn.2026-12.example.shaletiller:gateway"
 SETTINGS: dict[str, Any] = {
@@ -77,6 +82,12 @@
 }
 
 
+def on_settable_clock(test: Callable[..., Any]) -> Callable[..., Any]:
+    """Mark a test whose gateway's time passes by `wait` alone, however long the machine takes."""
+    test.on_settable_clock = True  # type: ignore[attr-defined]
+    return test
+
+
 def key(text: str) -> str:
     number, _, rest = text.partition("&")
     return f"{int(number):016x}" + (f"&{rest}" if rest else "")
@@ -457,7 +468,9 @@
         }
         self.config.write_text(json.dumps(self.config_document))
         self.env = {"EDGE_CONFIG": str(self.config), "TMPDIR": folder.name, **await self.environment()}
-        self.gateway = Gateway(read_config(self.env, nvme))
+        test = getattr(self, self._testMethodName)
+        self.clock = SettableClock(START_MS) if hasattr(test, "on_settable_clock") else Clock()
+        self.gateway = Gateway(read_config(self.env, nvme), self.clock)
         await self.gateway.start()
 
     def record_events(self) -> list[Any]:
@@ -514,13 +527,27 @@
             await self.parties[name].start()
         return self.parties[name]
 
+    def allow_any_connect_time(self) -> None:
+        """Take no node for unreachable while this machine is busy: connecting is timed by the event loop."""
+        settings = dataclasses.replace(self.gateway.config.settings, connect_timeout_ms=60_000.0)
+        self.gateway._http.apply_settings(settings)
+
+    async def wait(self, wait_ms: float) -> None:
+        """Let the gateway's time pass."""
+        if not isinstance(self.clock, SettableClock):
+            await asyncio.sleep(wait_ms / 1000)
+            return
+        self.clock.advance(wait_ms)
+        for _ in range(LOOP_TURNS):
+            await asyncio.sleep(0)
+
     async def play(self, text: str) -> None:
         """Play the lines in turn; a failure names its line."""
         for line in filter(None, (line.split("  #")[0].strip() for line in text.splitlines())):
             verb, *arguments = shlex.split(line)
             try:
                 if verb == "wait":
-                    await asyncio.sleep(float(arguments[0]) / 1000)
+                    await self.wait(float(arguments[0]))
                     continue
                 party = await self.party(arguments[0])
                 if verb == "reload":
