--- a/tests/policy/test_other_customers.py
+++ b/tests/policy/test_other_customers.py
@@ -20,7 +20,7 @@
 from shaletiller.policy import Scheduler
 from shaletiller.settings.decoder import read_settings
 from tests.net.test_endings import RaceScenario, RawClient, encode_request, reset_stream
-from tests.support.scenario import SETTINGS
+from tests.support.scenario import SETTINGS, on_settable_clock
 
 ROOT = Path(__file__).parent.parent.parent
 EFFECTS = ("read_like", "non_idempotent", "idempotency_key", "read_like")
@@ -84,72 +84,104 @@
     return f"{(0xF00D - tenant * 7) if renamed else tenant + 1:016x}"
 
 
+# The gateway's time passes in such steps while its requests wait for it, and once between two waves.
+STEP_MS = 5.0
+# A guard against a day that hangs, and no bound on its speed.
+WAVE_TIMEOUT_S = 60.0
+
 # How the first attempt of a request ends; the later ones are served.
 FATES = ("ok", "reset", "error", "not started", "cut", "no node", "silent")
 
 
 class OverSockets(RaceScenario):
-    """A day of requests of each class, plan and fate, in waves; what each gets, and how often it goes out."""
+    """A day of requests of each class, plan and fate, in waves; what each gets, and how often it goes out.
 
-    async def day(self, renamed: bool) -> list[tuple[int, bytes, int]]:
-        rng, out = random.Random(18), {}
-
-        async def node(party: Any, found: Any) -> None:
-            _, headers, _, writer, _ = found
-            number = int(headers["request-id"].split("-")[1])
-            out[number] = out.get(number, 0) + 1
-            fate = plan[number][2] if out[number] == 1 else "ok"
-            body = f"served {number}".encode()
-            response = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-            if fate == "reset":
-                reset_stream(writer)
-            elif fate == "cut":
-                writer.write(response[:-3])
-                await writer.drain()
-                reset_stream(writer)
-            elif fate != "silent":
-                writer.write(
-                    {
-                        "ok": response,
-                        "error": b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
-                        "not started": b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
-                    }[fate]
-                )
+    The gateway's time passes only while all requests of a wave wait for it: what is decided then does not
+    depend on how long the machine takes.
+    """
 
-        self.parties["n1"].script = node
-        plan = [
+    async def day(self, renamed: bool) -> list[tuple[int, bytes, int]]:
+        rng = random.Random(18)
+        self.renamed = renamed
+        self.sent: dict[int, int] = {}  # how often each request has reached a node
+        self.plan = [
             (rng.randrange(4), rng.choice((0, 0, 1, 1, 2)), rng.choice(FATES[:6]), rng.randrange(5))
             for _ in range(150)
         ]
-        plan += [(kind, 0, "silent", 0) for kind in range(4)]
-
-        async def one(number: int) -> tuple[int, bytes, int]:
-            kind, tier, fate, tenant = plan[number]
-            wire = await RawClient.open(self.gateway.http_server.address)
-            write, shard = WRITES[kind], 7 if fate == "no node" else 1
-            key = {"Idempotency_Key": f"k{number}"} if EFFECTS[kind] == "idempotency_key" else {}
-            wire.send(
-                encode_request(
-                    number,
-                    "PUT" if write else "GET",
-                    b"x" if write else b"",
-                    **key,
-                    Request_Id=f"r-{number}",
-                    Tier=named(str(PLANS[tier]["name"]), renamed),
-                    Request_Class=named(str(CLASSES[kind]["name"]), renamed),
-                    Request_Timeout_Ms="150" if fate in ("no node", "silent") else "900",
-                    IO_Info=f"volume={volume(tenant, renamed)},units=2,shard={shard},hosts=1",
-                )
-            )
-            status, body = await wire.answer()
-            wire.close()
-            return status, body if status == 200 else b"", out.get(number, 0)
-
+        self.plan += [(kind, 0, "silent", 0) for kind in range(4)]
+        self.parties["n1"].script = self.respond
+        self.allow_any_connect_time()
         found = []
-        for at in range(0, len(plan), 3):
-            found += await asyncio.gather(*(one(number) for number in range(at, min(at + 3, len(plan)))))
+        for at in range(0, len(self.plan), 3):
+            async with asyncio.timeout(WAVE_TIMEOUT_S):
+                found += await self.play_wave(range(at, min(at + 3, len(self.plan))))
+            await self.wait(STEP_MS)
         return found
 
+    async def respond(self, party: Any, found: Any) -> None:
+        """Respond as the node to an attempt, by its request's fate."""
+        _, headers, _, writer, _ = found
+        number = int(headers["request-id"].split("-")[1])
+        self.sent[number] = self.sent.get(number, 0) + 1
+        fate = self.plan[number][2] if self.sent[number] == 1 else "ok"
+        body = f"served {number}".encode()
+        response = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        if fate == "reset":
+            reset_stream(writer)
+        elif fate == "cut":
+            writer.write(response[:-3])
+            await writer.drain()
+            reset_stream(writer)
+        elif fate != "silent":
+            writer.write(
+                {
+                    "ok": response,
+                    "error": b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+                    "not started": b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
+                }[fate]
+            )
+
+    async def request(self, number: int) -> tuple[int, bytes, int]:
+        """Send a request as its client; return its answer, and how often it has reached a node."""
+        kind, tier, fate, tenant = self.plan[number]
+        wire = await RawClient.open(self.gateway.http_server.address)
+        write, shard = WRITES[kind], 7 if fate == "no node" else 1
+        key = {"Idempotency_Key": f"k{number}"} if EFFECTS[kind] == "idempotency_key" else {}
+        wire.send(
+            encode_request(
+                number,
+                "PUT" if write else "GET",
+                b"x" if write else b"",
+                **key,
+                Request_Id=f"r-{number}",
+                Tier=named(str(PLANS[tier]["name"]), self.renamed),
+                Request_Class=named(str(CLASSES[kind]["name"]), self.renamed),
+                Request_Timeout_Ms="150" if fate in ("no node", "silent") else "900",
+                IO_Info=f"volume={volume(tenant, self.renamed)},units=2,shard={shard},hosts=1",
+            )
+        )
+        status, body = await wire.answer()
+        wire.close()
+        return status, body if status == 200 else b"", self.sent.get(number, 0)
+
+    def waits_for_time(self, number: int) -> bool:
+        """Whether nothing happens to a request before the gateway's time passes."""
+        exchange = self.gateway.engine.exchanges.get(f"r-{number}")
+        if exchange is None:
+            return False
+        is_silent = self.plan[number][2] == "silent" and number in self.sent
+        return is_silent or all(attempt.outcome is not None for attempt in exchange.attempts)
+
+    async def play_wave(self, numbers: range) -> list[tuple[int, bytes, int]]:
+        """Send requests at the same time; let time pass while all without an answer wait for it."""
+        answers = {number: asyncio.ensure_future(self.request(number)) for number in numbers}
+        while not all(answer.done() for answer in answers.values()):
+            while not all(answer.done() or self.waits_for_time(number) for number, answer in answers.items()):
+                await asyncio.sleep(0.001)
+            await self.wait(STEP_MS)
+        return await asyncio.gather(*answers.values())
+
+    @on_settable_clock
     async def test_the_same_day_gets_the_same_answers(self) -> None:
         """A day with faults is played for two customers, whose names and order of settings differ.
 
