Go on with rounds after a failure of the scheduler; reject a request at which it fails

What callers would see: after one fault in a round, every request that waits for a round ended at its deadline. Cause: the engine dropped all actions of an event at which the scheduler raised, and a round's first action starts the timer of the next.

--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -19,7 +19,7 @@
 from shaletiller.core.admit import AdmitRequest
 from shaletiller.core.forward import AttemptSender
 from shaletiller.core.interfaces import EngineServices, NoServices
-from shaletiller.core.metrics import Counters, GuardReason
+from shaletiller.core.metrics import SCHEDULER_FAILURES, Counters, GuardReason
 from shaletiller.core.model import (
     Attempt,
     AttemptResult,
@@ -52,6 +52,7 @@
     EndpointListUpdate,
     Event,
     HealthCheckEnded,
+    Request,
     TimerExpired,
 )
 from shaletiller.messages.outcomes import Outcome
@@ -227,17 +228,35 @@
             return ()
 
     def _schedule(self, event: Event) -> None:
+        """Have the scheduler handle an event, and carry out what it decides.
+
+        If it fails, what it had decided by then is carried out all the same: a round starts the next round's
+        timer first, and without that no round would ever follow.
+        """
+        actions_before = self._scheduler.state.actions
         try:
-            actions = self._scheduler.handle(self._clock.now_ms(), event)
+            self._perform(self._scheduler.handle(self._clock.now_ms(), event))
         except Exception:
-            logger.exception("%s: the scheduler failed, no action follows", type(event).__name__)
-            return
+            logger.exception("the scheduler failed at %r", event)
+            self.counters.increment(SCHEDULER_FAILURES)
+            decided = self._scheduler.state.actions
+            self._perform([] if decided is actions_before else decided)
+            if isinstance(event, Request):
+                self._reject_unsent(event.request)
+
+    def _perform(self, actions: Sequence[Action]) -> None:
         for action in actions:
             try:
                 self._performers[type(action)](action)
             except Exception:
                 logger.exception("action %s failed", type(action).__name__)
 
+    def _reject_unsent(self, request: str) -> None:
+        """Answer a request at which the scheduler failed, unless it is on its way to a node."""
+        exchange = self.exchanges.get(request)
+        if exchange is not None and not exchange.attempts:
+            self._end_unanswered(exchange, GuardReason.SCHEDULER_FAILED, "the scheduler failed")
+
     def respond_to_all(self) -> None:
         """Respond to every request that is in flight, for the process ends."""
         for exchange in list(self.exchanges.values()):
--- a/shaletiller/core/metrics.py
+++ b/shaletiller/core/metrics.py
@@ -15,6 +15,7 @@
 }
 RESULTS_PREFIX = "results."
 REASONS_PREFIX = "reasons."
+SCHEDULER_FAILURES = "scheduler_failures"
 
 
 class GuardReason(StrEnum):
@@ -26,6 +27,8 @@
     """It came so late that the process ends before its timeout, or the process ended before its answer."""
     DEADLINE_GUARD = "deadline_guard"
     """The scheduler had not answered it by its deadline."""
+    SCHEDULER_FAILED = "scheduler_failed"
+    """The scheduler failed as it took it in."""
 
 
 class Counters(dict[str, int]):
@@ -45,7 +48,7 @@
 
 
 def stats_lines(counters: Counters, classes: list[str], gauges: dict[str, int]) -> list[str]:
-    """The lines `edge.NAME=VALUE` of the operators' STATS; a reason is listed once it was counted.
+    """The lines `edge.NAME=VALUE` of the operators' STATS; reasons and failures are listed once counted.
 
     :param classes: the request classes in force; classes that were counted before are listed after them.
     """
@@ -56,5 +59,7 @@
             name = f"{RESULTS_PREFIX}{request_class}.{word}"
             lines.append(f"edge.{name}={counters.get(name, 0)}")
     lines += [f"edge.{name}={value}" for name, value in gauges.items()]
-    reasons = sorted(name for name in counters if name.startswith(REASONS_PREFIX))
-    return lines + [f"edge.{name}={counters[name]}" for name in reasons]
+    once_counted = sorted(
+        name for name in counters if name.startswith(REASONS_PREFIX) or name == SCHEDULER_FAILURES
+    )
+    return lines + [f"edge.{name}={counters[name]}" for name in once_counted]
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import unittest
+import unittest.mock
 from dataclasses import replace
 
 from shaletiller.clock import SettableClock
@@ -189,6 +190,38 @@
             ["edge.reasons.aborted.deadline_guard=1", "edge.reasons.declined.late=1"],
         )
 
+    async def test_rounds_go_on_after_one_in_which_the_scheduler_failed(self) -> None:
+        """The scheduler raises once, in a round in which a request waits for its retry.
+
+        The retry must be sent in the next round.  Guards against a gateway that never starts a round again.
+        """
+        await self.call(CALL)
+        self.upstream.attempts[0].set_result(AttemptResult(Outcome.FULL))
+        await self.settle()
+        scheduler = self.engine._scheduler
+        with unittest.mock.patch.object(type(scheduler.threshold), "update", side_effect=ValueError("once")):
+            self.clock.advance(scheduler.state.next_round_ms - self.clock.now_ms())
+            await self.settle()
+        self.assertEqual(len(self.upstream.attempts), 1)
+        self.clock.advance(scheduler.state.site.round_ms)
+        await self.settle()
+        self.assertEqual(len(self.upstream.attempts), 2)
+        self.assertIn("edge.scheduler_failures=1", stats_lines(self.engine.counters, [], {}))
+
+    async def test_a_request_at_which_the_scheduler_fails_is_rejected_at_once(self) -> None:
+        """The scheduler raises as it takes in a write: nothing was sent, so the write is rejected, once.
+
+        Guards against clients that wait for their deadline after a fault of the scheduler.
+        """
+        admission = type(self.engine._scheduler.admission)
+        with unittest.mock.patch.object(admission, "admit", side_effect=ValueError("once")):
+            await self.call(WRITE)
+        self.assertEqual(self.answers, [FinalResponse(FinalResult.REJECTED)])
+        self.clock.advance(1000)
+        await self.settle()
+        self.assertEqual((len(self.answers), self.engine._scheduler.state.pending), (1, {}))
+        self.assertIn("edge.reasons.declined.scheduler_failed=1", stats_lines(self.engine.counters, [], {}))
+
     async def test_the_result_of_a_health_check_is_an_event(self) -> None:
         """The scheduler requests a health check and is notified of its result."""
         self.engine._send_health_check(SendHealthCheck("n1"))
