Name the key of an effect that is no string

What operators would see: a start, or a reload, that ends in a traceback instead of a line with the key. Cause: the decoder looked the value up in a dictionary before it knew that it is a string. Evidence: `TypeError: unhashable type` for a list and an object; both rows of test_a_faulty_key_is_named and the new test, which draws any JSON value for any key, failed before.

--- a/shaletiller/settings/decoder.py
+++ b/shaletiller/settings/decoder.py
@@ -113,7 +113,7 @@
     known = _known_keys(source, CLASS_KEYS, f"classes[{at}]")
     if "effect" not in known:  # a default of unsafe would keep its reads from ever being retried
         raise SettingsError(f"classes[{at}].effect: is missing")
-    if known["effect"] not in EFFECTS:
+    if not isinstance(known["effect"], str) or known["effect"] not in EFFECTS:
         raise SettingsError(f"classes[{at}].effect: unknown value {known['effect']!r}")
     known["effect"] = EFFECTS[known["effect"]]
     return {**known, "writes": bool(writes[at]) if at < len(writes) else False}
--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -10,8 +10,12 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from shaletiller.config import ConfigError, read_config
+from shaletiller.settings.decoder import CLASS_KEYS, PLAN_KEYS, SETTING_KEYS, read_settings
+from shaletiller.settings.errors import SettingsError
 from tests.support.scenario import SETTINGS
 
 GOOD: dict[str, Any] = {
@@ -92,6 +96,8 @@
         ("settings.obligations", 5, "settings.obligations"),
         ("settings.classes.0.hard-limit-ms", 0, "settings.classes[0].hard-limit-ms"),
         ("settings.classes.1.effect", None, "settings.classes[1].effect: is missing"),
+        ("settings.classes.1.effect", ["safe"], "settings.classes[1].effect"),
+        ("settings.classes.1.effect", {"a": 1}, "settings.classes[1].effect"),
         ("settings.classes.1.key-ttl-ms", -1, "settings.classes[1].key-ttl-ms"),
         ("settings.classes.1.name", "read", "settings.classes[1].name: 'read' occurs twice"),
         ("settings.classes.0.name", "", "settings.classes[0].name"),
@@ -110,6 +116,37 @@
     assert str(caught.value).removeprefix("EDGE_CONFIG: ").startswith(key), caught.value
 
 
+SETTING_PATHS = [
+    *(f"classes.0.{key}" for key in CLASS_KEYS),
+    *(f"contracts.0.{key}" for key in PLAN_KEYS),
+    *(f"{section}.{key}".removeprefix(".") for section, keys in SETTING_KEYS.items() for key in keys),
+    *("classes", "classes.0", "contracts", "contracts.0", "domain", "domain.writes", "limits", "discovery"),
+]
+SITE_LISTS = ("classes", "contracts", "plans")  # an empty list of contracts is named `plans`, see the roadmap
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=4,
+)
+
+
+@given(st.sampled_from(SETTING_PATHS), JSON_VALUES)
+def test_any_value_of_any_key_is_read_or_named(path: str, value: Any) -> None:
+    """Any JSON value stands in any key.  Guards against a start or a reload that ends in a traceback."""
+    *way, last = path.split(".")
+    document: Any = json.loads(json.dumps(SETTINGS))
+    group = document
+    for step in way:
+        group = group[int(step)] if step.isdigit() else group.setdefault(step, {})
+    group[int(last) if last.isdigit() else last] = value
+    text = ""
+    try:
+        read_settings(document)
+    except SettingsError as error:
+        text = str(error)
+    assert not text or re.match(r"[\w-]+", text)[0] in {*SETTING_KEYS, *SETTING_KEYS[""], *SITE_LISTS}, text
+
+
 @pytest.mark.parametrize(
     ("old", "new", "key"),
     [
