Read whole numbers of the operator file as integers

What operators saw: `fanout 9` was rejected with "Expected `int`, got `float`"; only hexadecimal digits worked. Cause: the KDL library reads every decimal number as a float.

--- a/shaletiller/config/operator_reader.py
+++ b/shaletiller/config/operator_reader.py
@@ -131,7 +131,9 @@
         if len(node.args) != 1:
             raise self._node_error(node, key, "expected one name and then its properties")
         children = self.group(node.nodes, model, item_key)
-        items.append({"name": node.args[0], **node.props, **children})
+        fields = _field_types(model)
+        properties = {name: _exact(value, fields.get(name)) for name, value in node.props.items()}
+        items.append({"name": node.args[0], **properties, **children})
 
     def _single(self, node: Any, field_type: Any, key: str) -> Any:
         """Convert a group or a value that may occur once."""
@@ -142,7 +144,7 @@
             return self.group(node.nodes, field_type, key)
         if len(node.args) != 1 or node.props or node.nodes:
             raise self._node_error(node, key, "expected one value")
-        return node.args[0]
+        return _exact(node.args[0], field_type)
 
     def _line(self, node: Any) -> int:
         return self.node_lines.get(id(node), 0)
@@ -151,6 +153,12 @@
         return OperatorFileError(f"{self.file_name}: line {self._line(node)}: {key}: {message}")
 
 
+def _exact(value: Any, field_type: Any) -> Any:
+    """Return a whole number of an integer field as one: the library reads every decimal number as a float."""
+    is_whole = field_type is int and isinstance(value, float) and value.is_integer()
+    return int(value) if is_whole else value
+
+
 def _field_types(model: type[Group]) -> dict[str, Any]:
     """The types of a model's fields by their keys in the file."""
     hints = get_type_hints(model)
--- a/tests/fleet/test_fleet_gateway.py
+++ b/tests/fleet/test_fleet_gateway.py
@@ -352,6 +352,22 @@
     assert not read_operator_file(path).fleet.on
 
 
+def test_the_operator_files_counts_are_written_in_decimal(tmp_path: Path) -> None:
+    """Counts stand in decimal digits; a fraction is a fault, named with its line.
+
+    Guards against a library that reads every decimal number as a float.
+    """
+    path = tmp_path / "operator.kdl"
+    path.write_text("fleet {\n  fanout 4\n  quorum 3\n}\npromises {\n  copies 5\n}\n")
+    file = read_operator_file(path)
+    counts = (file.fleet.fanout, file.fleet.quorum, file.replication.copies)
+    assert counts == (4, 3, 5)
+    assert [type(count) for count in counts] == [int] * 3
+    path.write_text("promises {\n  copies 2.5\n}\n")
+    with pytest.raises(OperatorFileError, match=r"line 2: promises.copies"):
+        read_operator_file(path)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
