Give the scheduler an outcome for a send whose request has ended

What callers would see: less capacity, for good, each time a client disconnects between the decision to send its request and the sending. Cause: the engine dropped such a send, and the scheduler waited for its outcome. Evidence: the new test disconnects a client at that moment; before, the attempt stayed in flight. Change: the attempt ends as NOT_SENT. tests/core and the invariants green.

--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -48,6 +48,7 @@
 )
 from shaletiller.messages.endpoints import EndpointState, UpdateKind
 from shaletiller.messages.events import (
+    AttemptEnded,
     ClientDisconnected,
     EndpointListUpdate,
     Event,
@@ -285,6 +286,7 @@
         endpoint = self.routes.route(exchange, action.node, now_ms)
         if exchange is None:
             logger.warning("request %s: no attempt, the request has ended", action.request)
+            self._end_unsent(action)
             return
         attempt = Attempt(len(exchange.attempts), action.node, now_ms)
         exchange.attempts.append(attempt)
@@ -293,6 +295,13 @@
         else:
             self.attempts(exchange, attempt, endpoint, action.timeout_ms, action.start_within_ms)
 
+    def _end_unsent(self, action: SendAttempt) -> None:
+        """Give the scheduler the outcome of an attempt that no exchange stands for, to free its slot."""
+        numbers = [number for request, number in self._scheduler.state.attempts if request == action.request]
+        if numbers:
+            newest = max(numbers)
+            self.notify(AttemptEnded(action.request, newest, action.node, Outcome.NOT_SENT, 0.0, True))
+
     def _reject(self, action: Reject) -> None:
         response = FinalResponse(FinalResult.REJECTED, retry_after_ms=action.retry_after_ms)
         self._end(action.request, response, action.reason)
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -14,7 +14,15 @@
 from shaletiller.core.metrics import stats_lines
 from shaletiller.core.model import AttemptResult, ClientCall, Exchange, FinalResponse, FinalResult
 from shaletiller.core.route import Endpoint
-from shaletiller.messages.actions import Action, Fail, GiveUpReason, Reject, SendAttempt, SendHealthCheck
+from shaletiller.messages.actions import (
+    Action,
+    Fail,
+    GiveUpReason,
+    Reject,
+    SendAttempt,
+    SendHealthCheck,
+    StartTimer,
+)
 from shaletiller.messages.endpoints import EndpointState, UpdateKind
 from shaletiller.messages.events import AttemptEnded, Event, HealthCheckEnded
 from shaletiller.messages.outcomes import Outcome
@@ -208,6 +216,28 @@
         self.assertEqual(len(self.upstream.attempts), 2)
         self.assertIn("edge.scheduler_failures=1", stats_lines(self.engine.counters, [], {}))
 
+    async def test_a_send_for_a_request_that_has_ended_gives_its_slot_back(self) -> None:
+        """A client disconnects between the decision to send its retry and the sending.
+
+        Guards against nodes whose capacity is used up by requests that were never sent.
+        """
+        exchange = await self.call(CALL)
+        self.upstream.attempts[0].set_result(AttemptResult(Outcome.FULL))
+        await self.settle()
+        state, start_timer = self.engine._scheduler.state, self.engine._performers[StartTimer]
+
+        def disconnect_first(action: StartTimer) -> None:
+            self.engine.client_disconnected(exchange)
+            start_timer(action)
+
+        self.engine._performers[StartTimer] = disconnect_first
+        self.clock.advance(state.next_round_ms - self.clock.now_ms())
+        await self.settle()
+        self.assertEqual((len(self.upstream.attempts), state.attempts, state.pending), (1, {}, {}))
+        (upstream,) = self.engine._scheduler.endpoints.upstreams()
+        self.assertEqual(upstream.in_flight_units, 0)
+        self.engine._scheduler.validate_state()
+
     async def test_a_request_at_which_the_scheduler_fails_is_rejected_at_once(self) -> None:
         """The scheduler raises as it takes in a write: nothing was sent, so the write is rejected, once.
 
