Time out no request body while a part of it is unread

What callers saw: a 408 after a stall of the process of 2.2 s, though all of the body had been sent in time. Cause: the wait for a body had a timeout of the event loop, which fires before the kernel's input is read. The new test plays it on the settable clock, which the old timeout did not follow; with the look for unread input taken out it fails. Change: the timer is the gateway's clock's, and waits on while input is unread. A body's size is bounded.

--- a/shaletiller/net/http_server.py
+++ b/shaletiller/net/http_server.py
@@ -25,6 +25,7 @@
 from shaletiller.net.http_request import find_request_class, parse_request
 from shaletiller.net.listener import Listener
 from shaletiller.net.overload_control import OverloadControl
+from shaletiller.net.sockets import has_unread_input
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +36,36 @@
 MAX_LOGGED_ID = 64  # characters of a request's id in a log line
 
 
+class BodyTimer:
+    """Ends the wait for a body, unless a part of it is still unread.
+
+    After a stall of this process the rest may lie in the kernel.  A body's size is bounded, so a client
+    cannot stay by sending on.
+    """
+
+    def __init__(
+        self, clock: Clock, connection: ClientConnection, timeout: asyncio.Timeout, wait_ms: float
+    ) -> None:
+        """Start the timer.
+
+        :param timeout: expires with it.
+        """
+        self._clock = clock
+        self._connection = connection
+        self._timeout = timeout
+        self._timer = clock.call_later(wait_ms, self._expire)
+
+    def _expire(self) -> None:
+        if has_unread_input(self._connection.transport):
+            self._timer = self._clock.call_later(limits.SWEEP_INTERVAL_MS, self._expire)
+        else:
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    def cancel(self) -> None:
+        """Stop the timer; without effect once it has expired."""
+        self._timer.cancel()
+
+
 class HttpServer:
     """Listens for clients; each request waits for the engine's one final response."""
 
@@ -212,8 +243,12 @@
         if request.content.is_eof():  # it is complete
             return await read_bounded(request.content)
         remaining_ms = connection.state_since_ms + limits.REQUEST_TIMEOUT_MS - self._clock.now_ms()
-        async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
-            return await read_bounded(request.content)
+        async with asyncio.timeout(None) as timeout:
+            timer = BodyTimer(self._clock, connection, timeout, remaining_ms)
+            try:
+                return await read_bounded(request.content)
+            finally:
+                timer.cancel()
 
     async def _call_engine(self, head: RawRequestMessage, body: bytes, queued_ms: float) -> FinalResponse:
         """Have the engine serve a request.
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -25,7 +25,7 @@
 from shaletiller.net.nvme.queue import ControllerQueue
 from shaletiller.net.overload_control import AcceptedSocket
 from shaletiller.net.pool import UpstreamProtocol
-from tests.support.scenario import SETTINGS, TIMEOUT_S, VOLUME, Scenario, key
+from tests.support.scenario import SETTINGS, TIMEOUT_S, VOLUME, Scenario, key, on_settable_clock
 
 PATCH = unittest.mock.patch
 
@@ -348,6 +348,29 @@
         await self.play("expect n1 GET 1\nsend n1 200 ok")
         self.assertEqual(await wire.answer(), (200, b"ok"))
 
+    @on_settable_clock
+    async def test_a_body_received_during_a_stall_is_not_timed_out(self) -> None:
+        """The process stands still for longer than a request may take, with half of a body read.
+
+        The rest arrives meanwhile.  Guards against a 408 to a client that was in time; one that sends no more
+        must still get it.
+        """
+        wire, late = await self.wire(), await self.wire()
+        request = encode_request(1, "PUT", b"0123456789", Request_Timeout_Ms="5000")
+        for each in (wire, late):
+            each.send(request[:-5])
+        listener = self.gateway.http_server._listener
+        await until(
+            lambda: [each.state for each in listener.table.open] == [ConnectionState.ACTIVE] * 2,
+            "the first halves to be read",
+        )
+        await self.wait(0.0)  # both handlers wait for their bodies
+        wire.send(request[-5:])  # unread until this test gives way to the event loop
+        await self.wait(limits.REQUEST_TIMEOUT_MS + 1.0)
+        await self.play("expect n1 PUT 1 0123456789\nsend n1 200 ok")
+        self.assertEqual(await wire.answer(), (200, b"ok"))
+        self.assertEqual((await late.answer())[0], 408)
+
     async def test_a_connection_that_is_starting_is_not_evicted(self) -> None:
         """Every place is taken, and the oldest connection is being started as the next one comes.
 
