Record when the testbed of the laboratory stands still

What was seen: the scenario full-disk failed once beside other test runs, with 503s for keys asked for again at the end. Cause, by trials on a scratch copy: the testbed's process carries all links between the gateways, the nodes and discovery. Change: the course of a run says when its testbed stood still for more than 100 ms. No check is changed.

--- a/shaletiller/lab/fleet_testbed.py
+++ b/shaletiller/lab/fleet_testbed.py
@@ -29,6 +29,9 @@
 DRIFT = 0.01
 # Shards of the limited volume; there is one more, whose node operators eject.
 SHARDS = 3
+# How often it is looked whether this process stands still, and from when on that is recorded.
+STALL_POLL_MS = 20.0
+MIN_STALL_MS = 100.0
 # Between the start of the clients' tasks and the first request: drawing the requests takes less.
 LOAD_DELAY_MS = 100.0
 EMPTY_LIST = {"version": 0, "full": True, "servers": []}
@@ -124,6 +127,7 @@
         self.began_ms = 0.0
         self.bans: list[Ban] = []
         self._struck_granter: str | None = None
+        self._stall_recorder: asyncio.Task[None] | None = None
         self._appliers: dict[FaultVerb, Callable[[Fault, list[str]], Awaitable[None]]] = {
             FaultVerb.CUT: self._cut,
             FaultVerb.HEAL: self._heal,
@@ -146,6 +150,7 @@
 
     async def start(self) -> None:
         """Start nodes, discovery, links and gateways, and wait until all gateways are ready."""
+        self._stall_recorder = asyncio.ensure_future(self._record_stalls())
         for node in self.nodes:
             await node.start(self.names)
         await self.discovery.start(self.names)
@@ -167,6 +172,8 @@
 
     async def stop(self) -> None:
         """Shut all gateways down, then the nodes."""
+        if self._stall_recorder is not None:
+            self._stall_recorder.cancel()
         await asyncio.gather(*(process.stop() for process in self.processes.values()))
         for node in self.nodes:
             node.close()
@@ -216,6 +223,16 @@
         await asyncio.gather(load.play(requests, self.began_ms), self.play(faults))
         return load
 
+    async def _record_stalls(self) -> None:
+        """Record when this process stood still: nodes, discovery and the links between gateways did, too."""
+        while True:
+            before_ms = now_ms()
+            await asyncio.sleep(STALL_POLL_MS / 1000)
+            stalled_ms = now_ms() - before_ms - STALL_POLL_MS
+            if stalled_ms > MIN_STALL_MS and self.began_ms:
+                text = f"the testbed stood still for {stalled_ms:.0f} ms"
+                self.course.append(AppliedFault(now_ms() - self.began_ms - stalled_ms, text))
+
     async def stats(self) -> dict[str, dict[str, int]]:
         """Return the counters of all gateways that are alive."""
         return {name: await process.stats() for name, process in self.processes.items() if process.alive}
