--- a/tests/lab/test_fleet_testbed.py
+++ b/tests/lab/test_fleet_testbed.py
@@ -13,8 +13,7 @@
 def test_a_stall_of_the_testbed_is_recorded(tmp_path: Path) -> None:
     """The process of the testbed stands still.
 
-    Guards against failures that are taken for the gateways': the links between them, their nodes and discovery
-    stand still with it.
+    Guards against failures that are taken for the gateways': their links stand still with it.
     """
 
     async def stall() -> list[str]:
