Let a failed scenario on the settable clock end; give its clients a minute

Forced by a read of 20 ms: the code before does not end in 25 s, now the test fails at once. Change: time passes while a scenario is torn down; those clients have the wave's minute, a guard and no bound.

--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -92,6 +92,8 @@
 class RawClient:
     """A client that is a bare socket: what `send` sent is in the other side's kernel when it returns."""
 
+    timeout_s = TIMEOUT_S  # a guard against a test that hangs
+
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.got = sock, b""
         self.head = b""  # of the last response
@@ -109,7 +111,7 @@
 
     async def read(self) -> bytes:
         """Read what has arrived, b"" at the end; a reset raises ConnectionResetError."""
-        found = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.sock, 65536), TIMEOUT_S)
+        found = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.sock, 65536), self.timeout_s)
         self.got += found
         return found
 
--- a/tests/policy/test_other_customers.py
+++ b/tests/policy/test_other_customers.py
@@ -145,6 +145,7 @@
         """Send a request as its client; return its answer, and how often it has reached a node."""
         kind, tier, fate, tenant = self.plan[number]
         wire = await RawClient.open(self.gateway.http_server.address)
+        wire.timeout_s = WAVE_TIMEOUT_S
         write, shard = WRITES[kind], 7 if fate == "no node" else 1
         key = {"Idempotency_Key": f"k{number}"} if EFFECTS[kind] == "idempotency_key" else {}
         wire.send(
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -494,6 +494,19 @@
         return {}
 
     async def asyncTearDown(self) -> None:
+        time_passes = asyncio.ensure_future(self.let_time_pass())
+        try:
+            await self.stop_all()
+        finally:
+            time_passes.cancel()
+
+    async def let_time_pass(self) -> None:
+        """Advance a settable clock: a gateway that ends waits by it for what a failed test left pending."""
+        while isinstance(self.clock, SettableClock):
+            self.clock.advance(1.0)
+            await asyncio.sleep(0.001)
+
+    async def stop_all(self) -> None:
         for party in self.parties.values():
             await party.stop()
         await self.gateway.engine.close()
