--- a/tests/nvme/test_scenarios_nvme.py
+++ b/tests/nvme/test_scenarios_nvme.py
@@ -187,6 +187,7 @@
             )
         await self.play("send v99 read 7\nexpect n1 GET 7\nsend n1 200 fine\nexpect v99 ok fine")
 
+    @on_settable_clock
     async def test_the_largest_write_by_r2t_arrives_in_order(self) -> None:
         """A host writes the sixteen blocks of the largest command by R2T. Each object gets its own block."""
         text = "".join(chr(97 + at) * 4096 for at in range(16))
@@ -443,6 +444,7 @@
     servers = ("b1",)
     nvme_block_bytes = 65536
 
+    @on_settable_clock
     async def test_a_write_larger_than_a_capsule_is_sent_by_r2t(self) -> None:
         """A block is larger than what fits a command capsule.
 
