--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,72 +1,64 @@
-"""Two storage nodes are taken out by hand during an upgrade, one call to each process of the gateway."""
+"""A client writes an object whose bytes are compressed, and says so by `Content-Encoding`."""
 
+import gzip
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 from standins import *
 
-GRACE_MS = 2000.0 + 50.0  # drain-grace-ms of the settings, and the 50 ms of the protocol page
-WATCHED_MS = 3000.0  # how long sends are watched after the grace
+WRITES = 5
+HEADER = b"Content-Encoding: gzip\r\n"
 
 
-async def case(work: Path, record: Record, gateways: list[Gateway]) -> bool:
-    nodes = [Node(f"s-{number + 1}", number, record, 5.0) for number in range(3)]
-    for node in nodes:
-        await node.start()
-    agent = Agent(record)
-    agent.rows = {node.name: node.row() for node in nodes}
-    await agent.start()
+class StoringNode(Node):
+    """Keeps what a PUT wrote, and returns it to a GET of the same key."""
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self.objects: dict[str, bytes] = {}
 
-    old = Gateway(work, agent, settings())
-    gateways.append(old)
-    old.start()
-    await old.ready()
-    new = old
-    if TROUBLE:
-        new = Gateway(work, agent, settings(), listen=old.port, tmpdir=old.tmpdir)
-        gateways.append(new)
-        new.start()
-        await new.ready()
-        record("upgrade: the new process is ready beside the old one")
+    async def _answer(self, arrival: Arrival) -> bytes:
+        await asyncio.sleep(0.02)
+        if arrival.method == "PUT":
+            self.objects[arrival.target] = arrival.body
+            return encode_response(200, b"written")
+        return encode_response(200, self.objects.get(arrival.target, b""))
 
-    stopped = False
 
-    async def load() -> None:
-        number = 0
-        while not stopped:
-            number += 1
-            client = Client(old.port)
-            await client.request(encode_request(f"{number:016x}", key=number, shard=number % 3))
-            client.close()
-            await asyncio.sleep(0.02)
+async def case(work: Path, record: Record, gateways: list[Gateway]) -> bool:
+    node = StoringNode("s-1", 0, record)
+    await node.start()
+    agent = Agent(record)
+    agent.rows = {"s-1": node.row()}
+    await agent.start()
+    gateway = Gateway(work, agent, settings())
+    gateways.append(gateway)
+    gateway.start()
+    await gateway.ready()
 
-    task = asyncio.create_task(load())
-    await asyncio.sleep(0.5)
-    done_ms = {}
-    for gateway, node in ((new, "s-1"), (old, "s-2")):
-        answer = await operator_call(gateway.admin, f"DISABLE {node}")
-        done_ms[node] = now_ms()
-        which = "new" if gateway is new else "old"
-        record(f"operator: DISABLE {node} at the {which} process: {answer!r}")
-        if not answer.startswith("done"):
-            raise CannotRunError(answer)
-    await asyncio.sleep(0.5)
-    if TROUBLE:
-        old.signal(signal.SIGTERM)
-        record("upgrade: SIGTERM to the old process")
-    await asyncio.sleep((GRACE_MS + WATCHED_MS) / 1000 - 0.5)
-    stopped = True
-    await task
-    ok = True
-    for node in nodes[:2]:
-        before = sum(arrival.at_ms <= done_ms[node.name] for arrival in node.arrivals)
-        late = [arrival for arrival in node.arrivals if arrival.at_ms > done_ms[node.name] + GRACE_MS]
-        record(f"{node.name}: {before} requests before its DISABLE, {len(late)} past the grace after it")
-        if not before:
-            raise CannotRunError("the node was not in use before")
-        ok = ok and not late
-    return ok
+    broken = served = 0
+    for number in range(1, WRITES + 1):
+        body = gzip.compress(b"manifest of flight %d; " % number * 20, mtime=0)
+        raw = encode_request(f"{number:016x}", cls="checkin-write", timeout_ms=1200, key=number, body=body)
+        if TROUBLE:
+            raw = raw.replace(b"Content-Length:", HEADER + b"Content-Length:", 1)
+        client = Client(gateway.port)
+        answer = await client.request(raw)
+        read = await client.request(encode_request(f"{number + 100:016x}", key=number))
+        client.close()
+        stored = node.objects.get(f"/api?key={number:016x}")
+        if answer is None or stored is None or read is None:
+            raise CannotRunError(f"the write or the read was not served: {answer and answer[0]}, {read and read[0]}")
+        record(f"client {number}: PUT of {len(body)} bytes, {body[:8].hex()}..., answered {answer[0]}")
+        record(f"client {number}: the storage node was sent {len(stored)} bytes, {stored[:8].hex()}...")
+        record(f"client {number}: a GET returned {len(read[2])} bytes, equal: {read[2] == body}")
+        served += answer[0] == 200
+        broken += stored != body
+    if not served:
+        raise CannotRunError("no write was served")
+    record(f"{broken} of {WRITES} writes reached the storage node with another body than the client's")
+    return broken == 0
 
 
 run_case(case, Path(__file__).parent)
