Review case 7: during an upgrade two writes of one ordered key run at once

Cause: each process orders the requests that it took itself, and the kernel spreads the connections over both. Change: a case, nothing of the program.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.  TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" && exec python3 case.py
