--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,8 +6,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 from standins import *
 
-WRITES = 12
-GAP_S = 0.003  # between one write and the next
+WRITES = 10
+GAP_S = 0.007  # between one write and the next
 HELD_UP_S = 0.1  # the page allows 0.15 s
 
 
