Notice that a client has left while reading of its connection is paused

What callers saw: a write of a client that had sent 40 at once and closed was forwarded, and run, 0.2 s after the close. Cause: with 32 pipelined requests queued, aiohttp pauses reading; a transport that is not read reports no close, and connection_lost, which cancels the client's requests, came only when a response was written to the closed connection. A large body in the queue pauses reading too, with the same result. Both new tests failed before, for a close, a reset and a half-close each.

--- a/shaletiller/net/client_connection.py
+++ b/shaletiller/net/client_connection.py
@@ -216,6 +216,19 @@
         """Whether another request has been received that needs a response too."""
         return bool(self._messages)
 
+    def end_if_client_left(self) -> None:
+        """End a connection that is not being read if its client has closed it.
+
+        Reading is paused while the queue of pipelined requests or the buffer of a body is full.  A transport
+        that is not read does not report a close: the pending requests would be forwarded for nobody.
+        """
+        is_paused = self._buffer_paused or self._reading_paused
+        if not is_paused or self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0 and peer_has_closed(sock):
+            self.transport.abort()  # `connection_lost` follows, as for a close that is read
+
     def _wake_task(self) -> None:
         if self._waiter is not None and not self._waiter.done() and not self.fast_path_pending:
             self._waiter.set_result(None)
--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -127,6 +127,11 @@
             self.remove(connection)
         connection.time_out()
 
+    def end_left(self) -> None:
+        """End the connections whose clients have left while reading was paused."""
+        for connection in list(self.open):
+            connection.end_if_client_left()
+
     def close_half_closed(self, now_ms: float) -> None:
         """Close the half-closed connections whose clients have closed too, or whose timeout is over."""
         for connection in [candidate for candidate in self.half_closed if candidate.may_close(now_ms)]:
--- a/shaletiller/net/sockets.py
+++ b/shaletiller/net/sockets.py
@@ -20,7 +20,7 @@
     return bool(poll.poll(0))
 
 
-def peer_has_closed(sock: socket.socket) -> bool:
+def peer_has_closed(sock: socket.socket | asyncio.trsock.TransportSocket) -> bool:
     """Whether the peer has closed the connection, even if earlier data is still unread."""
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -691,6 +691,45 @@
         await asyncio.sleep(0.05)
         self.assertEqual((self.requests_received, self.gateway.engine.exchanges), (0, {}))
 
+    async def leave_while_reading_is_paused(self, behind: bytes) -> None:
+        """Send a write and `behind` it input that pauses reading, then leave before the write is answered.
+
+        A close, a reset and a half-close each have to cancel the attempt and to end the connection.
+        """
+        connections = self.gateway.http_server._listener.table.open
+
+        def reading_is_paused() -> bool:
+            return any(connection._buffer_paused or connection._reading_paused for connection in connections)
+
+        for how in ("close", "reset", "half"):
+            with self.subTest(how):
+                client = await self.connect_client()
+                client.send(encode_request(1, "PUT", b"x", Request_Timeout_Ms="5000") + behind)
+                await self.play("expect n1 PUT 1 x")
+                await wait_until(reading_is_paused, "reading is paused")
+                if how == "half":
+                    client.sock.shutdown(socket.SHUT_WR)
+                else:
+                    (reset if how == "reset" else socket.socket.close)(client.sock)
+                await self.play(f"wait {limits.SWEEP_INTERVAL_MS:.0f}")
+                await self.play("expect n1 closed")
+                await wait_until(lambda: not connections, "the end of the connection")
+                self.assertEqual((self.requests_received, self.gateway.engine.exchanges), (0, {}))
+
+    @on_settable_clock
+    async def test_while_more_requests_are_pipelined_than_are_read(self) -> None:
+        """Guards against a close that is not seen because the pipelined requests have paused reading."""
+        await self.leave_while_reading_is_paused(
+            b"".join(
+                encode_request(number, "PUT", b"x", Request_Timeout_Ms="5000") for number in range(2, 42)
+            )
+        )
+
+    @on_settable_clock
+    async def test_while_a_large_body_is_pipelined(self) -> None:
+        """Guards against a close that is not seen because a body in the queue has paused reading."""
+        await self.leave_while_reading_is_paused(encode_request(2, "PUT", bytes(128 << 10)))
+
     async def test_as_the_connection_to_its_node_comes_up(self) -> None:
         """A client disconnects when the connection for its request is established.
 
