Serve ordered requests of a key in the order in which they arrived, not were read

What callers saw: writes of one key, in a class with by-arrival, ran as 10, 1, 9, 2, ... after the gateway was held up for 0.1 s, and the value of write 5 stayed stored. Cause: the order kept was that of reading. After a hold-up all input is readable at once; the accept queue starts the newest and the oldest connection alternately, and clients that connect first and write last, open beside new connections, and requests in pieces are read out of order too. Why this works: the kernel's receive time of a request's last byte is passed on with it; an ordered request waits until older input is read, and KeyOrdering, which owns the promise, orders by that time and rejects what is read too late.

--- a/shaletiller/clock.py
+++ b/shaletiller/clock.py
@@ -31,6 +31,14 @@
         """Return the current time in milliseconds since the Unix epoch."""
         return self._offset_ms + time.monotonic() * 1000
 
+    @staticmethod
+    def wall_ns() -> int:
+        """Return the real time in ns since the Unix epoch, as the kernel records it for received input.
+
+        It only orders requests; no duration depends on it, and it cannot be set.
+        """
+        return time.time_ns()
+
     def call_later(self, delay_ms: float, callback: Callable[..., None], *args: Any) -> Timer:
         """Schedule a call.
 
--- a/shaletiller/core/accept.py
+++ b/shaletiller/core/accept.py
@@ -52,6 +52,7 @@
         now_ms = self._clock.now_ms()
         idempotent = spec.effect is Idempotency.SAFE
         exchange = Exchange(call, respond, now_ms, now_ms + call.timeout_ms, idempotent)
+        exchange.ordered = spec.ordered and bool(call.key)
         self._exchanges[call.id] = exchange
         return exchange
 
--- a/shaletiller/core/admit.py
+++ b/shaletiller/core/admit.py
@@ -37,5 +37,6 @@
                 volume_gateways=call.volume_gateways,
                 is_retry=call.is_retry,
                 write=call.write,
+                arrived_ns=exchange.arrived_ns,
             )
         )
--- /dev/null
+++ b/shaletiller/core/arrival_order.py
@@ -0,0 +1,54 @@
+"""Admits ordered requests in the order in which they arrived at this machine, not in which they were read."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from operator import attrgetter
+
+from shaletiller.core.model import Exchange
+
+_arrived_ns = attrgetter("arrived_ns")
+
+
+class ArrivalOrder:
+    """Holds ordered requests until everything that arrived before them has been read.
+
+    After the process was held up, and while many connections are new, requests are read in another order than
+    they arrived in.  Other requests do not wait.
+
+    :param when_input_is_read: calls its argument once all input that has arrived by now has been read.
+    :param pass_on: called with each request, in the order of arrival; not with those that have ended.
+    """
+
+    def __init__(
+        self,
+        when_input_is_read: Callable[[Callable[[], None]], None],
+        pass_on: Callable[[Exchange], None],
+    ) -> None:
+        self._when_input_is_read = when_input_is_read
+        self._pass_on = pass_on
+        self._waiting: list[Exchange] = []  # in the order in which they were read
+
+    def add(self, exchange: Exchange) -> None:
+        """Add a request that has just been read."""
+        self._waiting.append(exchange)
+        if len(self._waiting) == 1:
+            self._read_input()
+
+    def _read_input(self) -> None:
+        self._when_input_is_read(partial(self._on_input_read, len(self._waiting)))
+
+    def _on_input_read(self, count: int) -> None:
+        """Pass requests on.
+
+        :param count: how many requests were waiting when the reading of the input began.
+        """
+        latest_ns = max(exchange.arrived_ns for exchange in self._waiting[:count])
+        ready = [exchange for exchange in self._waiting if exchange.arrived_ns <= latest_ns]
+        self._waiting = [exchange for exchange in self._waiting if exchange.arrived_ns > latest_ns]
+        for exchange in sorted(ready, key=_arrived_ns):
+            if not exchange.ended:
+                self._pass_on(exchange)
+        if self._waiting:
+            self._read_input()
--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -17,6 +17,7 @@
 from shaletiller.clock import Clock
 from shaletiller.core.accept import RequestAcceptor
 from shaletiller.core.admit import RequestAdmitter
+from shaletiller.core.arrival_order import ArrivalOrder
 from shaletiller.core.forward import AttemptSender
 from shaletiller.core.interfaces import EngineServices, NoServices
 from shaletiller.core.metrics import SCHEDULER_FAILURES, Counters, GuardReason
@@ -95,6 +96,7 @@
         self._counted_classes = {spec.name for spec in settings.classes}
         self.respond = Responder(self.exchanges, self.counters, self._services.on_request_ended)
         self.admit = RequestAdmitter(self.notify)
+        self._arrival_order = ArrivalOrder(self._services.when_input_is_read, self._begin)
         self.routes = RouteTable(settings.max_attempts, settings.hedging_allowed)
         self._record = OutcomeRecorder(clock, self.respond, self.notify, self.counters)
         self.attempts = AttemptSender(clock, self._record)
@@ -113,19 +115,32 @@
             WriteLog: self._write_log,
         }
 
-    def submit(self, call: ClientCall, respond: Callable[[FinalResponse], None]) -> Exchange:
+    def submit(
+        self, call: ClientCall, respond: Callable[[FinalResponse], None], arrived_ns: int = 0
+    ) -> Exchange:
         """Accept a client request.
 
         :param respond: called once with the final response, possibly before this method returns.
+        :param arrived_ns: when its last byte arrived (see `net/arrival_time.py`); 0 for now.
         :raises BadRequestError: if the request is malformed or not allowed; `respond` is not called.
         """
         exchange = self._accept(call, respond)
         wait_ms = call.timeout_ms + DEADLINE_GUARD_MS
         exchange.deadline_timer = self._clock.call_later(wait_ms, self._on_deadline_passed, exchange)
-        if not self._services.replicate_intent(exchange):
-            self.admit(exchange)
+        if exchange.ordered:
+            exchange.arrived_ns = arrived_ns or self._clock.wall_ns()
+            self._arrival_order.add(exchange)
+        else:
+            self._begin(exchange)
         return exchange
 
+    def _begin(self, exchange: Exchange) -> None:
+        """Admit a request, after its intent was replicated if its class requires that."""
+        if self._services.replicate_intent(exchange):
+            return
+        has_waited = exchange.ordered
+        self.admit(exchange, exchange.deadline_ms - self._clock.now_ms() if has_waited else None)
+
     def on_client_disconnected(self, exchange: Exchange) -> None:
         """Cancel the attempts of a request whose client has closed its connection; it gets no response.
 
--- a/shaletiller/core/interfaces.py
+++ b/shaletiller/core/interfaces.py
@@ -14,8 +14,13 @@
 class RequestSink(Protocol):
     """The part of the engine that servers (HTTP, NVMe) use."""
 
-    def submit(self, call: ClientCall, respond: Callable[[FinalResponse], None]) -> Exchange:
-        """Accept a client request; `respond` is called exactly once unless the client disconnects first."""
+    def submit(
+        self, call: ClientCall, respond: Callable[[FinalResponse], None], arrived_ns: int = 0
+    ) -> Exchange:
+        """Accept a client request; `respond` is called exactly once unless the client disconnects first.
+
+        :param arrived_ns: when its last byte arrived at this machine; 0 for now.
+        """
 
     def on_client_disconnected(self, exchange: Exchange) -> None:
         """Handle a client that has closed its connection; its request gets no response."""
@@ -68,6 +73,9 @@
         :returns: whether the replication was started; it then admits the request when it is complete.
         """
 
+    def when_input_is_read(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once, when all requests that have arrived by now have been submitted."""
+
     def on_request_ended(self, exchange: Exchange) -> None:
         """Handle the end of a request: its final result, or the disconnection of its client."""
 
@@ -89,5 +97,9 @@
         """Return False: no write is replicated."""
         return False
 
+    def when_input_is_read(self, callback: Callable[[], None]) -> None:
+        """Call `callback` at once."""
+        callback()
+
     def on_request_ended(self, exchange: Exchange) -> None:
         """Do nothing on the end of a request."""
--- a/shaletiller/core/model.py
+++ b/shaletiller/core/model.py
@@ -102,6 +102,8 @@
     accepted_ms: float
     deadline_ms: float
     idempotent: bool = False  # according to the settings of its class when it was accepted
+    ordered: bool = False  # whether it has a key and its class was ordered when it was accepted
+    arrived_ns: int = 0  # when its last byte arrived at this machine; set for ordered requests
     deadline_timer: Timer | None = None
     result: FinalResult | None = None
     client_disconnected: bool = False
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -301,6 +301,7 @@
         for client in self._upstream_clients:
             client.apply_settings(settings)
         self.discovery.apply_settings(settings)
+        self.http_server.apply_settings(settings)
         self._longest_deadline_ms = longest_deadline_ms(settings)
         names = ", ".join(spec.name for spec in settings.classes)
         logger.info("reload: new settings applied to new requests; classes: %s", names)
--- a/shaletiller/gateway_services.py
+++ b/shaletiller/gateway_services.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from shaletiller.core.model import Exchange
@@ -40,6 +40,10 @@
         replication = self._gateway.replication
         return replication is not None and replication.writes.replicate_intent(exchange)
 
+    def when_input_is_read(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once the HTTP server has read all requests that have arrived by now."""
+        self._gateway.http_server.when_input_is_read(callback)
+
     def on_request_ended(self, exchange: Exchange) -> None:
         """Report the end of a request to the telemetry."""
         telemetry = self._gateway.telemetry
--- a/shaletiller/messages/actions.py
+++ b/shaletiller/messages/actions.py
@@ -30,6 +30,8 @@
     """Its attempt failed, and its deadline or the maximum number of attempts allows no retry."""
     DEADLINE = "deadline"
     """It would exceed its deadline before the next round."""
+    OVERTAKEN = "overtaken"
+    """It is ordered, and a request for its object that arrived later was admitted before it was read."""
     UNKNOWN = "unknown"
 
 
--- a/shaletiller/messages/events.py
+++ b/shaletiller/messages/events.py
@@ -35,6 +35,8 @@
     :param volume_gateways: number of gateways that serve the volume.
     :param is_retry: whether the client has marked the request as a retry.
     :param write: whether the request changes its object.
+    :param arrived_ns: when it arrived, to order it among the requests of its object; comparable with other
+        arrivals only.  Requests with equal or unknown times are ordered as their events.
     """
 
     request: str
@@ -48,6 +50,7 @@
     volume_gateways: int = 1
     is_retry: bool = False
     write: bool = False
+    arrived_ns: int = 0
 
 
 class AttemptEnded(Message, frozen=True):
--- a/shaletiller/net/client_connection.py
+++ b/shaletiller/net/client_connection.py
@@ -12,7 +12,7 @@
 import contextlib
 from collections.abc import Callable, Coroutine, Mapping
 from enum import IntEnum
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from aiohttp import web
 from aiohttp.http import HttpVersion11, RawRequestMessage
@@ -107,6 +107,13 @@
 FastPath = Callable[["ClientConnection", RawRequestMessage, bytes], bool]
 
 
+class ReceivedRequest(NamedTuple):
+    """When a request was read (ms of the gateway's clock) and when it arrived (ns, 0 if unknown)."""
+
+    read_ms: float
+    arrived_ns: int
+
+
 class ConnectionOwner(Protocol):
     """Interface that a connection needs of its listener."""
 
@@ -130,10 +137,11 @@
         "_linger_bytes_left",
         "_linger_done",
         "_owner",
-        "arrival_times_ms",
         "fast_path_pending",
+        "last_input_ns",
         "on_disconnect",
         "prefetched_body",
+        "received",
         "state",
         "state_since_ms",
         "task_started",
@@ -148,8 +156,9 @@
         self._owner = owner
         self.state = ConnectionState.NEW
         self.state_since_ms = owner.clock.now_ms()
-        # Times at which the requests that have no response yet were received.
-        self.arrival_times_ms: collections.deque[float] = collections.deque()
+        self.last_input_ns = 0  # when the data received last had arrived; 0 if it is not recorded
+        # The requests that have no response yet, except for one on the fast path.
+        self.received: collections.deque[ReceivedRequest] = collections.deque()
         # Body of the next request, if it was read before the fast path declined the request.
         self.prefetched_body: bytes | None = None
         self.task_started = False  # whether aiohttp's task has started to run
@@ -203,7 +212,8 @@
         self.state = _ON_REQUEST_RECEIVED[self.state]
         task_is_idle = not self.task_started if waiter is None else not waiter.done()
         if received > 1 or not task_is_idle or not self._try_fast_path():
-            self.arrival_times_ms.extend([self._owner.clock.now_ms()] * received)
+            times = ReceivedRequest(self._owner.clock.now_ms(), self.last_input_ns)
+            self.received.extend([times] * received)
             self._wake_task()
 
     @property
@@ -291,8 +301,8 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Send a handler's response, then keep the connection open, half-close it or let it linger."""
         result = await super().finish_response(request, resp, start_time)
-        if self.arrival_times_ms:  # empty if data behind an upgrade request was parsed late
-            self.arrival_times_ms.popleft()
+        if self.received:  # empty if data behind an upgrade request was parsed late
+            self.received.popleft()
         self.state_since_ms = self._owner.clock.now_ms()
         if 400 <= resp.status < 500 and not resp.keep_alive and self.transport is not None:
             await self._linger(self.transport)
--- a/shaletiller/net/connection_limits.py
+++ b/shaletiller/net/connection_limits.py
@@ -34,6 +34,12 @@
 # Time for which the accept queue must be nonempty without interruption to count as overload: more connections
 # arrive than can be started (a standing queue, as in CoDel, RFC 8289).
 OVERLOAD_AFTER_MS = 100.0
+# Maximum time for which ordered requests wait until older input is read; under a flood of new connections it
+# could be read much later.
+MAX_INPUT_WAIT_MS = 100.0
+# Event loop iterations that a request takes at most from its socket to the engine: the start of its
+# connection, the read, and the tasks of aiohttp.
+READ_TURNS = 8
 # Age at which queued connections are rejected unread under overload.  If they were started in order of
 # arrival, all of them would be answered too late, and the retries of their clients would add to the load.
 MAX_QUEUE_AGE_MS = 5.0
--- a/shaletiller/net/http_server.py
+++ b/shaletiller/net/http_server.py
@@ -26,6 +26,7 @@
 from shaletiller.net.listener import Listener
 from shaletiller.net.overload_control import OverloadControl
 from shaletiller.net.sockets import has_unread_input
+from shaletiller.settings.model import Settings
 
 logger = logging.getLogger(__name__)
 
@@ -91,6 +92,7 @@
             OverloadControl(clock, lambda: engine.settings.retry_after_allowed, self._count_unread_rejection),
         )
         self._closing = False
+        self.apply_settings(engine.settings)
         self.shutdown_deadline_ms = math.inf  # time by which all requests have a response
         self.address: tuple[str, int] = ("", 0)
 
@@ -117,6 +119,14 @@
         """
         self._listener.draining = draining
 
+    def apply_settings(self, settings: Settings) -> None:
+        """Record the arrival times of requests if a class needs them; on new connections only."""
+        self._listener.record_arrival_times(any(spec.ordered for spec in settings.classes))
+
+    def when_input_is_read(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once, when all requests that have arrived by now have been submitted."""
+        self._listener.when_input_is_read(callback)
+
     def stop_accepting(self) -> None:
         """Stop accepting connections; open connections may still send requests."""
         self._listener.stop_accepting()
@@ -159,7 +169,7 @@
             call = parse_request(head, body, 0.0, remaining_ms)
             if self._cannot_complete_before_shutdown(call, remaining_ms):
                 return False
-            exchange = self._engine.submit(call, respond)
+            exchange = self._engine.submit(call, respond, connection.last_input_ns)
         except (BadRequestError, RequestExpiredError):
             return False
         if connection.fast_path_pending:
@@ -187,10 +197,11 @@
             complete = request.content.is_eof()
             body = await self._receive_body(request, connection)
             # A request that was pipelined behind another one has waited since it was received.
-            queued_ms = 0.0
-            if complete and connection.arrival_times_ms:
-                queued_ms = self._clock.now_ms() - connection.arrival_times_ms[0]
-            response = await self._call_engine(request._message, body, queued_ms)
+            queued_ms, arrived_ns = 0.0, connection.last_input_ns
+            if complete and connection.received:
+                queued_ms = self._clock.now_ms() - connection.received[0].read_ms
+                arrived_ns = connection.received[0].arrived_ns
+            response = await self._call_engine(request._message, body, queued_ms, arrived_ns)
         except RequestRejectedError as error:
             return self._make_error_response(request, error)
         except RequestExpiredError:
@@ -246,7 +257,9 @@
             finally:
                 timer.cancel()
 
-    async def _call_engine(self, head: RawRequestMessage, body: bytes, queued_ms: float) -> FinalResponse:
+    async def _call_engine(
+        self, head: RawRequestMessage, body: bytes, queued_ms: float, arrived_ns: int
+    ) -> FinalResponse:
         """Submit a request to the engine and wait for its final response.
 
         If the client disconnects, aiohttp cancels this coroutine, and the engine is notified.
@@ -265,7 +278,7 @@
             call = parse_request(head, body, queued_ms, remaining_ms)
             if self._cannot_complete_before_shutdown(call, remaining_ms):
                 raise RequestExpiredError
-            exchange = self._engine.submit(call, respond)
+            exchange = self._engine.submit(call, respond, arrived_ns)
         except BadRequestError as error:
             raise RequestRejectedError(400, str(error)) from error
         try:
--- a/shaletiller/net/listener.py
+++ b/shaletiller/net/listener.py
@@ -16,6 +16,7 @@
 
 from shaletiller.clock import Clock, Timer
 from shaletiller.net import connection_limits as limits
+from shaletiller.net.arrival_time import TimestampingProtocol, record_arrival_times
 from shaletiller.net.client_connection import SHUTDOWN_RESPONSE, ClientConnection, ConnectionState, FastPath
 from shaletiller.net.connection_table import ConnectionTable
 from shaletiller.net.overload_control import AcceptedSocket, AcceptQueue, OverloadControl
@@ -78,6 +79,13 @@
         self._socket: socket.socket | None = None
         self._accept_paused = False
         self._sweep_timer: Timer | None = None
+        self._records_arrival_times = False
+
+    def record_arrival_times(self, enabled: bool) -> None:
+        """Choose whether the arrival times of requests are recorded, on connections accepted from now on."""
+        self._records_arrival_times = enabled
+        if enabled and self._socket is not None:
+            record_arrival_times(self._socket)
 
     def listen(self, host: str, port: int) -> None:
         """Listen on an address; port 0 selects a free port."""
@@ -88,6 +96,7 @@
             (host, port), family=family, backlog=limits.LISTEN_BACKLOG, reuse_port=True
         )
         self._socket.setblocking(False)
+        self.record_arrival_times(self._records_arrival_times)
         self.address = self._socket.getsockname()[:2]
         asyncio.get_running_loop().add_reader(self._socket, self._accept)
         self._sweep()
@@ -191,12 +200,44 @@
     async def _attach_transport(self, connection: ClientConnection, sock: socket.socket) -> None:
         """Attach a transport and the connection to an accepted socket."""
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, sock)
+            protocol = TimestampingProtocol(connection, sock) if self._records_arrival_times else connection
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
         except OSError as error:
             logger.warning("starting an accepted connection failed, connection closed: %s", error)
             self.table.remove(connection)
             sock.close()
 
+    def when_input_is_read(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once, when all requests that have arrived by now have been read and handled.
+
+        It is called after `MAX_INPUT_WAIT_MS` even if some have not, and does not wait for connections whose
+        reading is paused, or that are not accepted because the connection limit is reached.
+        """
+        task = asyncio.get_running_loop().create_task(self._read_input())
+        self._tasks.add(task)
+
+        def on_done(task: asyncio.Task[None]) -> None:
+            self._tasks.discard(task)
+            callback()
+
+        task.add_done_callback(on_done)
+
+    async def _read_input(self) -> None:
+        """Wait until new connections with input are started, then until their input is handled."""
+        deadline_ms = self.clock.now_ms() + limits.MAX_INPUT_WAIT_MS
+        while self._has_unaccepted_connections and self.clock.now_ms() < deadline_ms:
+            await asyncio.sleep(0)
+        unread = self.accept_queue.with_input()
+        while self.accept_queue.contains_any(unread) and self.clock.now_ms() < deadline_ms:
+            await asyncio.sleep(0)
+        await self._wait_for_transports(deadline_ms)
+        for _ in range(limits.READ_TURNS):
+            await asyncio.sleep(0)
+
+    @property
+    def _has_unaccepted_connections(self) -> bool:
+        return self._socket is not None and not self._accept_paused and is_readable(self._socket)
+
     def _sweep(self) -> None:
         """Time out connections, and resume accepting, since the limit may not be reached any more."""
         now_ms = self.clock.now_ms()
@@ -254,7 +295,8 @@
 
     async def _wait_for_transports(self, deadline_ms: float) -> None:
         """Wait for connections that are being started; they cannot be half-closed without a transport."""
-        while any(connection.transport is None for connection in self.table.open):
+        starting = [connection for connection in self.table.open if not connection.has_transport]
+        while any(connection in self.table.open and not connection.has_transport for connection in starting):
             if self.clock.now_ms() >= deadline_ms:
                 break
             await asyncio.sleep(0)
--- a/shaletiller/net/overload_control.py
+++ b/shaletiller/net/overload_control.py
@@ -17,7 +17,7 @@
 from shaletiller.net import connection_limits as limits
 from shaletiller.net.client_connection import ConnectionState
 from shaletiller.net.connection_table import EVICTABLE_AFTER_MS
-from shaletiller.net.sockets import peer_has_closed
+from shaletiller.net.sockets import is_readable, peer_has_closed
 
 REJECT_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n"
 HEALTH_CHECK_HEAD = b"GET /up "
@@ -47,6 +47,14 @@
         """Return the number of queued connections."""
         return len(self._sockets)
 
+    def with_input(self) -> set[AcceptedSocket]:
+        """Return the queued connections that have unread input."""
+        return {accepted for accepted in self._sockets if is_readable(accepted.sock)}
+
+    def contains_any(self, accepted: set[AcceptedSocket]) -> bool:
+        """Return whether any of these connections is still queued."""
+        return not accepted.isdisjoint(self._sockets)
+
     def push(self, accepted: AcceptedSocket) -> None:
         """Add the newest connection."""
         self._sockets.append(accepted)
--- a/shaletiller/policy/admission.py
+++ b/shaletiller/policy/admission.py
@@ -48,7 +48,8 @@
         if not self.limits.check_rate_limit(pending):
             self.completion.give_up(pending, GiveUpReason.RATE_LIMIT)
         elif pending.spec.ordered and request.object_key:
-            self.ordering.enqueue(pending)
+            if not self.ordering.enqueue(pending):
+                self.completion.give_up(pending, GiveUpReason.OVERTAKEN)
         else:
             self.admit(pending)
 
--- a/shaletiller/policy/key_ordering.py
+++ b/shaletiller/policy/key_ordering.py
@@ -1,4 +1,7 @@
-"""Per-key ordering: ordered requests for one object are served one at a time in order of arrival."""
+"""Per-key ordering: ordered requests for one object are served one at a time in order of arrival.
+
+The order of arrival is that of `Request.arrived_ns`; events may come in another order.
+"""
 
 from __future__ import annotations
 
@@ -25,13 +28,20 @@
         self._state, self._admit = state, admit
         self._queues = state.key_queues
 
-    def enqueue(self, pending: PendingRequest) -> None:
-        """Queue an ordered request; it is admitted after all earlier requests have their final answers."""
-        object_key = pending.request.object_key
+    def enqueue(self, pending: PendingRequest) -> bool:
+        """Queue an ordered request; it is admitted after all earlier requests have their final answers.
+
+        :returns: False if a request that arrived later was admitted; this one must not be sent any more.
+        """
+        object_key, arrived_ns = pending.request.object_key, pending.request.arrived_ns
+        if self._state.admitted_arrivals.is_overtaken(object_key, arrived_ns):
+            return False
         queue = self._queues.setdefault(object_key, KeyQueue())
-        queue.requests.append(pending)
+        later = sum(queued.request.arrived_ns > arrived_ns for queued in queue.requests)
+        queue.requests.insert(len(queue.requests) - later, pending)
         if len(queue.requests) == 1:
             self.admit_next(object_key)
+        return True
 
     def admit_next(self, object_key: str) -> None:
         """Admit the head of a key's queue if the key is free; remove the queue if it is no longer needed."""
@@ -48,8 +58,15 @@
         if wait_ms > 0:
             self._state.actions.append(StartTimer(wait_ms, OrderingTimer(object_key)))
         else:
+            self._record_admission(head)
             self._admit(head)
 
+    def _record_admission(self, head: PendingRequest) -> None:
+        """Remember the request for as long as an earlier one could still be read and be served in time."""
+        state, request = self._state, head.request
+        keep_ms = max(spec.deadline_ms for spec in state.site.settings.classes)
+        state.admitted_arrivals.record(request.object_key, request.arrived_ns, state.now_ms, keep_ms)
+
     def record_sent(self, pending: PendingRequest) -> None:
         """Block the key of a started attempt until its outcome is known."""
         if pending.spec.ordered and pending.request.object_key:
--- a/shaletiller/state/runtime.py
+++ b/shaletiller/state/runtime.py
@@ -7,6 +7,7 @@
 
 from shaletiller.messages.actions import Action
 from shaletiller.settings.model import Settings
+from shaletiller.state.admitted_arrivals import AdmittedArrivals
 from shaletiller.state.latency import LatencyEstimates
 from shaletiller.state.records import AttemptInFlight, KeyQueue, PendingRequest
 from shaletiller.state.site import SiteSettings
@@ -32,6 +33,7 @@
     pending: dict[str, PendingRequest] = field(default_factory=dict)  # by request id
     attempts: dict[tuple[str, int], AttemptInFlight] = field(default_factory=dict)  # by request id and number
     key_queues: dict[str, KeyQueue] = field(default_factory=dict)  # by object key
+    admitted_arrivals: AdmittedArrivals = field(default_factory=AdmittedArrivals)  # of ordered requests
     actions: list[Action] = field(default_factory=list)
 
     @classmethod
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -192,6 +192,33 @@
     assert gateway.sent() == ["r1", "r3", "r2"]
 
 
+def test_ordered_requests_of_one_key_run_in_the_order_of_their_arrival() -> None:
+    """Guards against the order of the events: requests are read in another order than they arrived in."""
+    gateway = ScriptedGateway(classes=(replace(SAFE, ordered=True),))
+    gateway.request("r1", object_key="k", arrived_ns=10)
+    gateway.request("r4", object_key="k", arrived_ns=40)
+    gateway.request("r2", object_key="k", arrived_ns=20)
+    gateway.request("r3", object_key="k", arrived_ns=20)
+    for name in ("r1", "r2", "r3", "r4"):
+        assert gateway.sent()[-1] == name
+        gateway.end_attempt(name)
+
+
+def test_an_ordered_request_is_not_sent_after_one_that_arrived_later() -> None:
+    """Guards against an old write that is read too late and replaces a later one, in flight or finished."""
+    gateway = ScriptedGateway(classes=(replace(SAFE, ordered=True),))
+    gateway.request("r2", object_key="k", arrived_ns=20)
+    for name in ("while it is in flight", "after it has finished"):
+        gateway.request(name, object_key="k", arrived_ns=10)
+        assert [answer.reason for answer in gateway.finals(name)] == [GiveUpReason.OVERTAKEN]
+        gateway.end_attempt("r2")
+    gateway.request("r1", object_key="other", arrived_ns=10)
+    gateway.run_to(SAFE.deadline_ms)
+    gateway.request("r3", object_key="third", arrived_ns=30)
+    assert gateway.sent() == ["r2", "r1", "r3"]
+    assert len(gateway.scheduler.state.admitted_arrivals) == 1, "only the third key is remembered"
+
+
 def test_retries_keep_to_the_budget() -> None:
     """While every attempt fails, retries stay within the budget of two in five seconds.
 
