Close the storage node's streams in a process test before its event loop ends

What was seen, once, in a run of 630 tests: test_the_files_that_decide_import_nothing_that_does_io failed with "SystemError: AST constructor recursion depth mismatch", beside "StreamWriter.__del__: Event loop is closed". Cause: streams that a test left open are finalized later by the garbage collector, here within ast.parse; reporting the finalizer's error parses sources again, which CPython 3.11 does not survive within a parse. Change: the process test's storage node closes its streams in any case. That this test was the origin is suspected (the warning named it), not shown: a run of tests/gateway alone shows no warning before or after.

--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import shutil
 import signal
@@ -144,16 +145,15 @@
         request_ids: set[str] = set()
 
         async def node(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while True:
-                try:
+            ended = (asyncio.IncompleteReadError, ConnectionError)
+            with contextlib.closing(writer), contextlib.suppress(*ended):
+                while True:
                     _, headers, _ = await read_message(reader)
-                except (asyncio.IncompleteReadError, ConnectionError):
-                    return
-                request_ids.add(headers["request-id"])
-                if headers["request-id"].startswith("sends-"):
-                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok")
-                else:
-                    requests_received.put_nowait((headers["request-id"], writer))
+                    request_ids.add(headers["request-id"])
+                    if headers["request-id"].startswith("sends-"):
+                        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok")
+                    else:
+                        requests_received.put_nowait((headers["request-id"], writer))
 
         server = await asyncio.start_server(node, "127.0.0.1", 0)
         self.addCleanup(server.close)
