Give one process of a gateway the order of keys while two of them serve

What callers saw: while one process replaced another, writes of one key, in a class with by-arrival, ran at once at their node, and some were overtaken by later ones. Change: the process that has bound the link's name (a Unix socket in the abstract namespace, freed by the kernel with its process) owns the order of all keys: the old one until its end, then the new one. It grants turns by the time of arrival, after a round in which each process reads its older input; a killed process's turns end with the quiet period; beside a process that stands still no turn is granted, and ordered requests are rejected at half of their time. Everything else is served as before. READY waits until the process listens, since the start may wait for the owner. Why this works: a turn is granted only when nothing older can be unread in any process, and the next process's turn only when the requests and attempts before it have ended.

--- a/shaletiller/core/arrival_order.py
+++ b/shaletiller/core/arrival_order.py
@@ -1,4 +1,4 @@
-"""Admits ordered requests in the order in which they arrived at this machine, not in which they were read."""
+"""Passes ordered requests on in the order of their arrival at this machine, not in that of reading."""
 
 from __future__ import annotations
 
@@ -29,26 +29,40 @@
         self._when_input_is_read = when_input_is_read
         self._pass_on = pass_on
         self._waiting: list[Exchange] = []  # in the order in which they were read
+        self._callbacks: list[Callable[[], None]] = []
+        self._reading = False
 
     def add(self, exchange: Exchange) -> None:
         """Add a request that has just been read."""
         self._waiting.append(exchange)
-        if len(self._waiting) == 1:
-            self._read_input()
+        self._read_input()
+
+    def when_passed_on(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once all requests that have arrived by now have been passed on."""
+        self._callbacks.append(callback)
+        self._read_input()
 
     def _read_input(self) -> None:
-        self._when_input_is_read(partial(self._on_input_read, len(self._waiting)))
+        if self._reading or not (self._waiting or self._callbacks):
+            return
+        self._reading = True
+        callbacks, self._callbacks = self._callbacks, []
+        self._when_input_is_read(partial(self._on_input_read, len(self._waiting), callbacks))
 
-    def _on_input_read(self, count: int) -> None:
-        """Pass requests on.
+    def _on_input_read(self, count: int, callbacks: list[Callable[[], None]]) -> None:
+        """Pass requests on, then call the callbacks.
 
         :param count: how many requests were waiting when the reading of the input began.
         """
-        latest_ns = max(exchange.arrived_ns for exchange in self._waiting[:count])
+        self._reading = False
+        latest_ns = max((exchange.arrived_ns for exchange in self._waiting[:count]), default=0)
+        if callbacks:  # They wait for all that has been read; what they do takes care of its order.
+            latest_ns = max((exchange.arrived_ns for exchange in self._waiting), default=0)
         ready = [exchange for exchange in self._waiting if exchange.arrived_ns <= latest_ns]
         self._waiting = [exchange for exchange in self._waiting if exchange.arrived_ns > latest_ns]
         for exchange in sorted(ready, key=_arrived_ns):
             if not exchange.ended:
                 self._pass_on(exchange)
-        if self._waiting:
-            self._read_input()
+        for callback in callbacks:
+            callback()
+        self._read_input()
--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from shaletiller.clock import Clock
@@ -96,9 +97,11 @@
         self._counted_classes = {spec.name for spec in settings.classes}
         self.respond = Responder(self.exchanges, self.counters, self._services.on_request_ended)
         self.admit = RequestAdmitter(self.notify)
-        self._arrival_order = ArrivalOrder(self._services.when_input_is_read, self._begin)
+        self._arrival_order = ArrivalOrder(self._services.when_input_is_read, self._request_turn)
         self.routes = RouteTable(settings.max_attempts, settings.hedging_allowed)
-        self._record = OutcomeRecorder(clock, self.respond, self.notify, self.counters)
+        self._record = OutcomeRecorder(
+            clock, self.respond, self.notify, self.counters, self._services.on_attempt_ended
+        )
         self.attempts = AttemptSender(clock, self._record)
         self._accept = RequestAcceptor(settings, clock, self.exchanges, self.attempts.in_flight)
         self._action_handlers: dict[type[Action], Callable[[Any], None]] = {
@@ -134,6 +137,13 @@
             self._begin(exchange)
         return exchange
 
+    def when_older_requests_are_passed_on(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once the turns of all ordered requests that have arrived by now are requested."""
+        self._arrival_order.when_passed_on(callback)
+
+    def _request_turn(self, exchange: Exchange) -> None:
+        self._services.request_turn(exchange, partial(self._begin, exchange))
+
     def _begin(self, exchange: Exchange) -> None:
         """Admit a request, after its intent was replicated if its class requires that."""
         if self._services.replicate_intent(exchange):
--- a/shaletiller/core/interfaces.py
+++ b/shaletiller/core/interfaces.py
@@ -76,6 +76,12 @@
     def when_input_is_read(self, callback: Callable[[], None]) -> None:
         """Call `callback` once, when all requests that have arrived by now have been submitted."""
 
+    def request_turn(self, exchange: Exchange, begin: Callable[[], None]) -> None:
+        """Call `begin` once it is the turn of an ordered request, unless the request ends before."""
+
+    def on_attempt_ended(self, exchange: Exchange) -> None:
+        """Handle the outcome of an attempt, after it was recorded."""
+
     def on_request_ended(self, exchange: Exchange) -> None:
         """Handle the end of a request: its final result, or the disconnection of its client."""
 
@@ -101,5 +107,12 @@
         """Call `callback` at once."""
         callback()
 
+    def request_turn(self, exchange: Exchange, begin: Callable[[], None]) -> None:
+        """Call `begin` at once: there is no other process."""
+        begin()
+
+    def on_attempt_ended(self, exchange: Exchange) -> None:
+        """Do nothing on the end of an attempt."""
+
     def on_request_ended(self, exchange: Exchange) -> None:
         """Do nothing on the end of a request."""
--- a/shaletiller/core/metrics.py
+++ b/shaletiller/core/metrics.py
@@ -27,6 +27,8 @@
     """It arrived too shortly before the process ends, or the process ended before its response."""
     DEADLINE_GUARD = "deadline_guard"
     """The scheduler had made no final decision by its deadline."""
+    NO_TURN = "no_turn"
+    """It is ordered, and another process of the gateway did not let it have its turn in time."""
     SCHEDULER_FAILED = "scheduler_failed"
     """The scheduler raised an exception while handling its arrival."""
 
--- a/shaletiller/core/record.py
+++ b/shaletiller/core/record.py
@@ -16,15 +16,24 @@
 
 
 class OutcomeRecorder:
-    """Records the outcome of each attempt exactly once."""
+    """Records the outcome of each attempt exactly once.
+
+    :param on_attempt_ended: called after each outcome was recorded.
+    """
 
     def __init__(
-        self, clock: Clock, respond: Responder, notify: Callable[[Event], None], counters: Counters
+        self,
+        clock: Clock,
+        respond: Responder,
+        notify: Callable[[Event], None],
+        counters: Counters,
+        on_attempt_ended: Callable[[Exchange], None],
     ) -> None:
         self._clock = clock
         self._respond = respond
         self._notify = notify
         self._counters = counters
+        self._on_attempt_ended = on_attempt_ended
 
     def __call__(self, exchange: Exchange, attempt: Attempt, result: AttemptResult) -> None:
         """Record the result of an attempt; does nothing if the attempt already has an outcome.
@@ -54,3 +63,4 @@
                 load_report=result.load_report,
             )
         )
+        self._on_attempt_ended(exchange)
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -22,6 +22,8 @@
 from shaletiller.net.discovery import DiscoveryClient
 from shaletiller.net.http_server import HttpServer
 from shaletiller.net.http_upstream import HttpUpstreamClient
+from shaletiller.net.ordering.agent import OrderingAgent
+from shaletiller.net.ordering.link import link_name
 from shaletiller.net.peers import PeerEndpoint
 from shaletiller.operator_calls import OperatorCalls
 from shaletiller.registry.endpoint_registry import EndpointRegistry
@@ -79,6 +81,7 @@
     def __init__(self, config: Config, clock: Clock | None = None) -> None:
         self.config = config
         self._clock = clock or Clock()
+        self._starting = False  # operators' calls are answered before the gateway listens for clients
         self._stopping = False
         self._discovery_watch: asyncio.Task[None] | None = None
         self._longest_deadline_ms = longest_deadline_ms(config.settings)
@@ -104,6 +107,7 @@
         self.http_server = HttpServer(
             self.engine, config.client_sockets, lambda: self.discovery.ready, self._clock
         )
+        self.ordering = self._make_ordering_agent()
         self.fleet = self._make_fleet_agent()
         self.peers = PeerEndpoint(
             config.peers,
@@ -137,6 +141,12 @@
 
         return NvmeTarget(self.config.nvme.target, self.engine)
 
+    def _make_ordering_agent(self) -> OrderingAgent:
+        config, name = self.config, None
+        if config.listen[1]:  # a port chosen by the kernel is shared with no other process
+            name = link_name(config.state_dir, config.name, config.listen)
+        return OrderingAgent(self.engine, self._clock, config.settings, name)
+
     def _make_fleet_agent(self) -> FleetAgent | None:
         operator = self.config.operator
         if operator is None or not operator.fleet.on:
@@ -175,6 +185,7 @@
             self._clock,
             self._is_ready,
             self.reload_counts,
+            self.ordering,
             self.fleet,
             self.replication,
         )
@@ -188,7 +199,7 @@
         return OtlpExporter(self.config.telemetry, self.config.name, self.engine, self._clock)
 
     def _is_ready(self) -> bool:
-        return self.discovery.ready and not self._stopping
+        return self.discovery.ready and not self._starting and not self._stopping
 
     def _upstream_client(self, node: str) -> UpstreamClient:
         return self._nvme_clients.get(node, self._http)
@@ -229,6 +240,7 @@
 
     async def start(self) -> None:
         """Load the stored state, then listen; HTTP clients are accepted before NVMe hosts."""
+        self._starting = True
         self.telemetry = self._make_telemetry()
         # Loaded before any endpoint list, so that a node ejected in the previous process gets no request.
         self.ejections.reload()
@@ -237,7 +249,9 @@
             self.replication.open()
         await self._start_admin_server()
         await self._start_fleet()
+        await self.ordering.start(self.config.settings)
         self.http_server.start(*self.config.listen)
+        self._starting = False
         await self._start_nvme_target()
         self._discovery_watch = self.engine.spawn(self.discovery.run())
         self.engine.spawn(self._poll_ejections())
@@ -302,6 +316,7 @@
             client.apply_settings(settings)
         self.discovery.apply_settings(settings)
         self.http_server.apply_settings(settings)
+        self.ordering.apply_settings(settings)
         self._longest_deadline_ms = longest_deadline_ms(settings)
         names = ", ".join(spec.name for spec in settings.classes)
         logger.info("reload: new settings applied to new requests; classes: %s", names)
@@ -350,6 +365,7 @@
         await self.engine.close()
         for client in self._upstream_clients:
             await client.close()
+        await self.ordering.close()  # after the upstream clients: none of its attempts is in flight any more
         self.peers.close()
         if self.replication is not None:
             await self.replication.close()
--- a/shaletiller/gateway_services.py
+++ b/shaletiller/gateway_services.py
@@ -44,8 +44,19 @@
         """Call `callback` once the HTTP server has read all requests that have arrived by now."""
         self._gateway.http_server.when_input_is_read(callback)
 
+    def request_turn(self, exchange: Exchange, begin: Callable[[], None]) -> None:
+        """Call `begin` once all older requests for the object, in any process of the gateway, have ended."""
+        self._gateway.ordering.request_turn(exchange, begin)
+
+    def on_attempt_ended(self, exchange: Exchange) -> None:
+        """Give the turn of an ordered request back with its last attempt."""
+        if exchange.ordered:
+            self._gateway.ordering.on_progress(exchange)
+
     def on_request_ended(self, exchange: Exchange) -> None:
-        """Report the end of a request to the telemetry."""
+        """Report the end of a request to the telemetry, and give the turn of an ordered one back."""
+        if exchange.ordered:
+            self._gateway.ordering.on_progress(exchange)
         telemetry = self._gateway.telemetry
         if telemetry is not None:
             telemetry.record_request(exchange)
--- a/shaletiller/operator_calls.py
+++ b/shaletiller/operator_calls.py
@@ -16,6 +16,7 @@
 from shaletiller.net.discovery import DiscoveryClient
 from shaletiller.net.errors import AdminCommandError
 from shaletiller.net.http_server import HttpServer
+from shaletiller.net.ordering.agent import OrderingAgent
 
 if TYPE_CHECKING:
     from shaletiller.net.fleet import FleetAgent
@@ -30,6 +31,7 @@
 
     :param ready: returns whether the gateway has an endpoint list and is not shutting down.
     :param reload_counts: the number of reloads by result, `applied` or `rejected`.
+    :param ordering: the agent of the order across the processes of this gateway.
     :param fleet: the fleet agent, or None if the fleet is disabled.
     :param replication: the replication agent, or None if the replication is disabled.
     """
@@ -43,6 +45,7 @@
         clock: Clock,
         ready: Callable[[], bool],
         reload_counts: dict[str, int],
+        ordering: OrderingAgent,
         fleet: FleetAgent | None,
         replication: ReplicationAgent | None,
     ) -> None:
@@ -53,6 +56,7 @@
         self._clock = clock
         self._is_ready = ready
         self._reload_counts = reload_counts
+        self._ordering = ordering
         self._fleet = fleet
         self._replication = replication
 
@@ -87,6 +91,7 @@
             "ejected": len(engine.ejected & engine.endpoints.keys()),
             "sighup_applied": self._reload_counts["applied"],
             "sighup_rejected": self._reload_counts["rejected"],
+            **self._ordering.stats(),
             **(fleet.stats() if fleet is not None else {}),
             **(self._discovery.registry.stats(self._clock.now_ms()) if fleet is not None else {}),
             **(replication.collect_metrics() if replication is not None else {}),
