Forget a key of the order once its quiet period is over, and drop a dead process's waits

What was seen, by reading: the owner's table kept each key whose last attempt may still have run for as long as the process lived, unless it was requested again; and as a follower ended, its waiting turns could be granted before they were dropped. Cause: an unused key was looked at only with its next turn; turns were released in the order in which they were asked for. Change: a release with a quiet period asks for a wake-up at its end; waiting turns of a lost process are dropped first.

--- a/shaletiller/ordering/owner.py
+++ b/shaletiller/ordering/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from shaletiller.ordering.effects import Effect, GrantTurn, ReadOwnInput, RefuseTurn, SendMessage, WakeAt
 from shaletiller.ordering.messages import (
@@ -79,8 +80,13 @@
 
     def release(self, process: int, request: str, quiet_ms: float, now_ms: float) -> list[Effect]:
         """Remove a turn, and grant the next ones of its key."""
-        turn = self._table.release(process, request, now_ms + quiet_ms if quiet_ms > 0 else 0.0)
-        return self._grant(turn.key, now_ms) if turn is not None else []
+        quiet_until_ms = now_ms + quiet_ms if quiet_ms > 0 else 0.0
+        turn = self._table.release(process, request, quiet_until_ms)
+        if turn is None:
+            return []
+        granted = self._grant(turn.key, now_ms)
+        # The table forgets an unused key when its quiet period has ended.
+        return [*granted, WakeAt(quiet_until_ms, turn.key)] if quiet_until_ms else granted
 
     def on_message(self, process: int, message: Message, now_ms: float) -> list[Effect]:
         """Handle a message of a follower."""
@@ -104,7 +110,7 @@
         """
         self._followers.discard(process)
         effects: list[Effect] = []
-        for turn in self._table.turns_of(process):
+        for turn in sorted(self._table.turns_of(process), key=attrgetter("granted")):
             effects += self.release(process, turn.request, quiet_ms, now_ms)
         if self._round is not None:
             effects += self.on_input_read(process, self._round.number, now_ms)
--- a/shaletiller/ordering/turn_table.py
+++ b/shaletiller/ordering/turn_table.py
@@ -114,6 +114,11 @@
             entry.quiet_until_ms, entry.quiet_process = quiet_until_ms, process
         return turn
 
+    @property
+    def keys(self) -> int:
+        """Number of keys that have a turn or a quiet period."""
+        return len(self._keys)
+
     def turns_of(self, process: int) -> list[Turn]:
         """Return the turns of a process."""
         return [turn for turn in self._turns.values() if turn.process == process]
--- a/tests/ordering/test_turns.py
+++ b/tests/ordering/test_turns.py
@@ -27,6 +27,8 @@
     decode,
     encode,
 )
+from shaletiller.ordering.owner import OWN_PROCESS, Owner
+from shaletiller.ordering.turn_table import TurnTable
 
 QUIET_MS = 200.0
 KEEP_MS = 3000.0
@@ -312,6 +314,30 @@
     assert {run.process for run in world.runs if run.start_ms >= 2000.0} == {1, 2}
 
 
+def test_a_key_is_forgotten_after_its_last_turn_and_quiet_period() -> None:
+    """Guards against a table that grows with each key whose last attempt was reset."""
+    table = TurnTable()
+    owner = Owner(0.0, KEEP_MS, 1)
+    owner._table = table
+    owner.ask(OWN_PROCESS, TurnState("r1", "k1", 1), 1.0)
+    owner.ask(OWN_PROCESS, TurnState("r2", "k2", 2), 1.0)
+    assert owner.release(OWN_PROCESS, "r1", 0.0, 2.0) == []
+    assert owner.release(OWN_PROCESS, "r2", QUIET_MS, 2.0) == [WakeAt(2.0 + QUIET_MS, "k2")]
+    assert table.keys == 1
+    owner.on_quiet_period_ended("k2", 2.0 + QUIET_MS)
+    assert table.keys == 0
+
+
+def test_a_turn_that_a_killed_follower_waited_for_is_not_granted() -> None:
+    """Guards against requests that are refused in favour of one that never ran."""
+    owner = Owner(0.0, KEEP_MS, 1)
+    owner.on_message(1, Hello((TurnState("r1", "k", 10, granted=True), TurnState("r2", "k", 20))), 1.0)
+    owner.on_follower_lost(1, QUIET_MS, 2.0)
+    granted = owner.ask(OWN_PROCESS, TurnState("r3", "k", 15), 3.0)
+    assert granted == [WakeAt(2.0 + QUIET_MS, "k")], "it waits for the attempt of r1"
+    assert owner.on_quiet_period_ended("k", 2.0 + QUIET_MS) == [GrantTurn("r3")]
+
+
 def test_a_turn_that_is_asked_for_within_a_round_of_input_is_granted_by_the_next() -> None:
     """Guards against a turn that waits until another request arrives."""
     world = World(1)
