Move the states of client connections to a module of their own

The response of the overload control and that of the shutdown are one; a result and its reason are counted by one method of the engine.

--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -217,8 +217,12 @@
             restarted = Endpoint(entry, endpoint.address, endpoint.client)
             self.update_endpoints(UpdateKind.CHANGES, 0, (restarted,))
 
-    def count_result(self, request_class: str, result: FinalResult) -> None:
+    def count_result(
+        self, request_class: str, result: FinalResult, reason: GuardReason | None = None
+    ) -> None:
         """Count a final response that a server gave without submitting the request to the engine."""
+        if reason is not None:
+            self.counters.count_reason(result, reason)
         known = request_class in self._counted_classes
         if request_class and (known or len(self._counted_classes) < MAX_COUNTED_CLASSES):
             self._counted_classes.add(request_class)
--- a/shaletiller/net/client_connection.py
+++ b/shaletiller/net/client_connection.py
@@ -1,4 +1,4 @@
-"""One client's HTTP/1.1 connection: its state machine, the fast path, and graceful close.
+"""One client's HTTP/1.1 connection: aiohttp's protocol with a fast path and graceful close.
 
 aiohttp's `RequestHandler` parses requests and runs handlers.  This subclass adds an explicit connection state
 (similar to those of h11 and httpcore), a fast path that answers a complete request without running aiohttp's
@@ -10,8 +10,7 @@
 import asyncio
 import collections
 import contextlib
-from collections.abc import Callable, Coroutine, Mapping
-from enum import IntEnum
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple, Protocol
 
 from aiohttp import web
@@ -21,85 +20,19 @@
 from shaletiller.clock import Clock
 from shaletiller.net import connection_limits as limits
 from shaletiller.net.body import MAX_BODY_BYTES
+from shaletiller.net.connection_state import (
+    ON_BYTES_RECEIVED,
+    ON_ERROR_SENT,
+    ON_REQUEST_PIPELINED,
+    ON_REQUEST_RECEIVED,
+    ON_RESPONSE_SENT,
+    ON_WRITE_SIDE_CLOSED,
+    ConnectionState,
+)
 from shaletiller.net.sockets import peer_has_closed, unacknowledged_bytes
 
 REQUEST_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-SHUTDOWN_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
-
-class ConnectionState(IntEnum):
-    """State of a client connection; an `IntEnum`, so that a transition is one index into a tuple."""
-
-    NEW = 0
-    """No byte has been received yet."""
-    READING_HEAD = 1
-    """Part of a request head has been received."""
-    ACTIVE = 2
-    """A request has been received; its response is pending."""
-    IDLE = 3
-    """Keep-alive: every request has been answered."""
-    LINGERING = 4
-    """An error response was sent and the write side is closed; input is read and discarded."""
-    HALF_CLOSED = 5
-    """The write side is closed; input stays unread in the kernel."""
-
-
-class ConnectionEvent(IntEnum):
-    """Event that may change the state of a connection."""
-
-    BYTES_RECEIVED = 0
-    REQUEST_RECEIVED = 1
-    RESPONSE_SENT = 2
-    REQUEST_PIPELINED = 3
-    """A response was sent while a pipelined request had already been received."""
-    ERROR_SENT = 4
-    """An error response was sent that ends the connection; the client may still be sending."""
-    WRITE_SIDE_CLOSED = 5
-
-
-_State, _Event = ConnectionState, ConnectionEvent
-
-# An event that is not listed for a state does not change it.
-TRANSITIONS: Mapping[ConnectionState, Mapping[ConnectionEvent, ConnectionState]] = {
-    _State.NEW: {
-        _Event.BYTES_RECEIVED: _State.READING_HEAD,
-        _Event.WRITE_SIDE_CLOSED: _State.HALF_CLOSED,
-    },
-    _State.READING_HEAD: {
-        _Event.REQUEST_RECEIVED: _State.ACTIVE,
-        _Event.ERROR_SENT: _State.LINGERING,
-        _Event.WRITE_SIDE_CLOSED: _State.HALF_CLOSED,
-    },
-    _State.ACTIVE: {
-        _Event.RESPONSE_SENT: _State.IDLE,
-        _Event.ERROR_SENT: _State.LINGERING,
-        _Event.WRITE_SIDE_CLOSED: _State.HALF_CLOSED,
-    },
-    _State.IDLE: {
-        _Event.BYTES_RECEIVED: _State.READING_HEAD,
-        _Event.ERROR_SENT: _State.LINGERING,  # error for a request that aiohttp parsed late
-        _Event.REQUEST_PIPELINED: _State.ACTIVE,
-        _Event.WRITE_SIDE_CLOSED: _State.HALF_CLOSED,
-    },
-    _State.LINGERING: {
-        _Event.WRITE_SIDE_CLOSED: _State.HALF_CLOSED,
-    },
-    _State.HALF_CLOSED: {},
-}
-
-
-def _next_states(event: ConnectionEvent) -> tuple[ConnectionState, ...]:
-    """Return the next state for an event, indexed by the current state."""
-    return tuple(TRANSITIONS[state].get(event, state) for state in ConnectionState)
-
-
-_ON_BYTES_RECEIVED = _next_states(ConnectionEvent.BYTES_RECEIVED)
-_ON_REQUEST_RECEIVED = _next_states(ConnectionEvent.REQUEST_RECEIVED)
-_ON_RESPONSE_SENT = _next_states(ConnectionEvent.RESPONSE_SENT)
-_ON_REQUEST_PIPELINED = _next_states(ConnectionEvent.REQUEST_PIPELINED)
-_ON_ERROR_SENT = _next_states(ConnectionEvent.ERROR_SENT)
-_ON_WRITE_SIDE_CLOSED = _next_states(ConnectionEvent.WRITE_SIDE_CLOSED)
-_IDLE = ConnectionState.IDLE
+
 
 # Called with a complete request.  Returns True if it serves the request; it then calls
 # `ClientConnection.send_response`, possibly before it returns.  Returns False if aiohttp's handler has to
@@ -197,9 +130,9 @@
             self._discard_input(len(data))
             return
         if data:
-            if self.state is _IDLE:
+            if self.state is ConnectionState.IDLE:
                 self.state_since_ms = self._owner.clock.now_ms()
-            self.state = _ON_BYTES_RECEIVED[self.state]
+            self.state = ON_BYTES_RECEIVED[self.state]
         # Parsing must not wake aiohttp's task before the fast path is tried: aiohttp's two tasks and its
         # request and response objects cost more per request than all decisions of the gateway.
         count_before, waiter = self._request_count, self._waiter
@@ -209,7 +142,7 @@
         received = self._request_count - count_before
         if not received:
             return
-        self.state = _ON_REQUEST_RECEIVED[self.state]
+        self.state = ON_REQUEST_RECEIVED[self.state]
         task_is_idle = not self.task_started if waiter is None else not waiter.done()
         if received > 1 or not task_is_idle or not self._try_fast_path():
             times = ReceivedRequest(self._owner.clock.now_ms(), self.last_input_ns)
@@ -286,11 +219,11 @@
             return
         self.transport.write(raw)
         self.state_since_ms = self._owner.clock.now_ms()
-        self.state = _ON_RESPONSE_SENT[self.state]
+        self.state = ON_RESPONSE_SENT[self.state]
         if close:
             self.half_close()
         elif self.has_pipelined_request:
-            self.state = _ON_REQUEST_PIPELINED[self.state]
+            self.state = ON_REQUEST_PIPELINED[self.state]
             self._wake_task()
 
     async def finish_response(
@@ -307,9 +240,9 @@
         if 400 <= resp.status < 500 and not resp.keep_alive and self.transport is not None:
             await self._linger(self.transport)
             return result
-        self.state = _ON_RESPONSE_SENT[self.state]
+        self.state = ON_RESPONSE_SENT[self.state]
         if self._messages:
-            self.state = _ON_REQUEST_PIPELINED[self.state]
+            self.state = ON_REQUEST_PIPELINED[self.state]
         elif not resp.keep_alive:
             self.half_close()
         return result
@@ -328,7 +261,7 @@
             self._waiter.cancel()
         if transport is None or transport.is_closing() or self.state is ConnectionState.HALF_CLOSED:
             return
-        self.state = _ON_WRITE_SIDE_CLOSED[self.state]
+        self.state = ON_WRITE_SIDE_CLOSED[self.state]
         self.state_since_ms = self._owner.clock.now_ms()
         self._owner.connection_half_closed(self)
         with contextlib.suppress(OSError, RuntimeError):  # the client may have reset the connection
@@ -354,7 +287,7 @@
         Closing a socket that has unread input resets the connection, and the client would not see the error
         response.
         """
-        self.state = _ON_ERROR_SENT[self.state]
+        self.state = ON_ERROR_SENT[self.state]
         self._linger_done = self._loop.create_future()
         # The client may have reset the connection, which uvloop reports as a RuntimeError.
         with contextlib.suppress(OSError, RuntimeError):
@@ -395,7 +328,7 @@
             self.force_close()
             return
         self.transport.write(response)
-        self.state = _ON_ERROR_SENT[self.state]
+        self.state = ON_ERROR_SENT[self.state]
         self._force_close = True
         if self._waiter is not None:
             self._waiter.cancel()
--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -5,7 +5,8 @@
 import math
 
 from shaletiller.net import connection_limits as limits
-from shaletiller.net.client_connection import ClientConnection, ConnectionState
+from shaletiller.net.client_connection import ClientConnection
+from shaletiller.net.connection_state import ConnectionState
 from shaletiller.net.sockets import has_unread_input
 
 # Time in a state after which a connection may be evicted for a new one when the connection limit is reached.
--- a/shaletiller/net/http_server.py
+++ b/shaletiller/net/http_server.py
@@ -317,8 +317,8 @@
 
     def _reject_expired(self, request: web.BaseRequest) -> FinalResponse:
         """Reject a request for which no time is left; the next process may have enough."""
-        self._engine.count_result(request.headers.get("Request-Class", ""), FinalResult.REJECTED)
-        self._engine.counters.count_reason(FinalResult.REJECTED, GuardReason.SHUTDOWN)
+        request_class = request.headers.get("Request-Class", "")
+        self._engine.count_result(request_class, FinalResult.REJECTED, GuardReason.SHUTDOWN)
         return FinalResponse(FinalResult.REJECTED, retry_after_ms=MIN_SHUTDOWN_BUDGET_MS)
 
     def _make_error_response(self, request: web.BaseRequest, error: RequestRejectedError) -> web.Response:
@@ -336,5 +336,4 @@
         return response
 
     def _count_unread_rejection(self, head: bytes) -> None:
-        self._engine.count_result(find_request_class(head), FinalResult.REJECTED)
-        self._engine.counters.count_reason(FinalResult.REJECTED, GuardReason.OVERLOAD)
+        self._engine.count_result(find_request_class(head), FinalResult.REJECTED, GuardReason.OVERLOAD)
--- a/shaletiller/net/listener.py
+++ b/shaletiller/net/listener.py
@@ -17,9 +17,15 @@
 from shaletiller.clock import Clock, Timer
 from shaletiller.net import connection_limits as limits
 from shaletiller.net.arrival_time import TimestampingProtocol, record_arrival_times
-from shaletiller.net.client_connection import SHUTDOWN_RESPONSE, ClientConnection, ConnectionState, FastPath
+from shaletiller.net.client_connection import ClientConnection, FastPath
+from shaletiller.net.connection_state import ConnectionState
 from shaletiller.net.connection_table import ConnectionTable
-from shaletiller.net.overload_control import AcceptedSocket, AcceptQueue, OverloadControl
+from shaletiller.net.overload_control import (
+    SHUTDOWN_RESPONSE,
+    AcceptedSocket,
+    AcceptQueue,
+    OverloadControl,
+)
 from shaletiller.net.sockets import is_readable
 
 logger = logging.getLogger(__name__)
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from shaletiller.net.client_connection import TRANSITIONS, ConnectionEvent, ConnectionState
+from shaletiller.net.connection_state import TRANSITIONS, ConnectionEvent, ConnectionState
 
 
 def test_every_state_is_reachable_and_may_be_closed() -> None:
--- a/tests/net/test_connection_table.py
+++ b/tests/net/test_connection_table.py
@@ -7,7 +7,7 @@
 import pytest
 
 from shaletiller.net import connection_limits as limits
-from shaletiller.net.client_connection import ConnectionState
+from shaletiller.net.connection_state import ConnectionState
 from shaletiller.net.connection_table import EVICTABLE_AFTER_MS, ConnectionTable
 
 
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -20,7 +20,8 @@
 
 from shaletiller.net import connection_limits as limits
 from shaletiller.net.admin import AdminServer
-from shaletiller.net.client_connection import ClientConnection, ConnectionState
+from shaletiller.net.client_connection import ClientConnection
+from shaletiller.net.connection_state import ConnectionState
 from shaletiller.net.nvme import capsules, commands
 from shaletiller.net.nvme.queue import ControllerQueue
 from shaletiller.net.overload_control import AcceptedSocket
--- a/tests/net/test_scenarios_http.py
+++ b/tests/net/test_scenarios_http.py
@@ -13,7 +13,7 @@
 
 from shaletiller.messages.actions import FetchEndpointList
 from shaletiller.messages.events import AttemptEnded
-from shaletiller.net.client_connection import ConnectionState
+from shaletiller.net.connection_state import ConnectionState
 from shaletiller.net.connection_table import EVICTABLE_AFTER_MS
 from shaletiller.net.discovery import MAX_BACKOFF_MS
 from shaletiller.net.http_upstream import HttpUpstreamClient
