Close the streams of the discovery agent in a process test

What was seen: "StreamWriter.__del__: Event loop is closed" in runs of the suite; once, a garbage collection within ast.parse reported it there, and test_the_files_that_decide_import_nothing_that_does_io failed with a SystemError of CPython 3.11. Cause: the agent of ProcessTest.reload dropped its two streams open.

--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -234,7 +234,12 @@
     ) -> None:
         """Send SIGHUP with an invalid file, which changes nothing, and with another address of discovery."""
         called = asyncio.Event()
-        agent = await asyncio.start_server(lambda reader, writer: called.set(), "127.0.0.1", 0)
+
+        def end_call(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            called.set()
+            writer.close()
+
+        agent = await asyncio.start_server(end_call, "127.0.0.1", 0)
         address = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
         for text in ('{"settings": ', json.dumps({**config_document, "discovery": address})):
             self.assertFalse(called.is_set())
