--- a/shaletiller/core/arrival_order.py
+++ b/shaletiller/core/arrival_order.py
@@ -55,9 +55,9 @@
         :param count: how many requests were waiting when the reading of the input began.
         """
         self._reading = False
-        latest_ns = max((exchange.arrived_ns for exchange in self._waiting[:count]), default=0)
-        if callbacks:  # They wait for all that has been read; what they do takes care of its order.
-            latest_ns = max((exchange.arrived_ns for exchange in self._waiting), default=0)
+        # Callbacks wait for all that has been read; what they do takes care of its order.
+        due = self._waiting if callbacks else self._waiting[:count]
+        latest_ns = max(map(_arrived_ns, due), default=0)
         ready = [exchange for exchange in self._waiting if exchange.arrived_ns <= latest_ns]
         self._waiting = [exchange for exchange in self._waiting if exchange.arrived_ns > latest_ns]
         for exchange in sorted(ready, key=_arrived_ns):
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -84,7 +84,6 @@
         self._starting = False  # operators' calls are answered before the gateway listens for clients
         self._stopping = False
         self._discovery_watch: asyncio.Task[None] | None = None
-        self._longest_deadline_ms = longest_deadline_ms(config.settings)
         self.reload_counts = {"applied": 0, "rejected": 0}
         self.engine = Engine(config.settings, config.seed, self._clock, GatewayServices(self))
         self.telemetry: OtlpExporter | None = None
@@ -317,7 +316,6 @@
         self.discovery.apply_settings(settings)
         self.http_server.apply_settings(settings)
         self.ordering.apply_settings(settings)
-        self._longest_deadline_ms = longest_deadline_ms(settings)
         names = ", ".join(spec.name for spec in settings.classes)
         logger.info("reload: new settings applied to new requests; classes: %s", names)
 
@@ -338,7 +336,8 @@
         self._stopping = True
         if self.fleet is not None:
             self.fleet.stop()
-        grace_ms = min(MAX_KILL_DEADLINE_MS, self._longest_deadline_ms) + KILL_GRACE_MS - KILL_MARGIN_MS
+        longest_deadline_ms = self.engine.settings.longest_deadline_ms
+        grace_ms = min(MAX_KILL_DEADLINE_MS, longest_deadline_ms) + KILL_GRACE_MS - KILL_MARGIN_MS
         end_ms = self._clock.now_ms() + grace_ms
         self.http_server.shutdown_deadline_ms = end_ms
         await self._clock.sleep(min(ACCEPT_AFTER_SIGTERM_MS, grace_ms))
@@ -375,8 +374,3 @@
             await self.telemetry.stop()
         if self.admin is not None:
             await self.admin.stop()
-
-
-def longest_deadline_ms(settings: Settings) -> float:
-    """Return the longest deadline of all request classes."""
-    return max(spec.deadline_ms for spec in settings.classes)
--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -101,14 +101,18 @@
         return None
 
     def time_out(self, now_ms: float, draining: bool) -> None:
-        """End connections whose request is not received in time, and those that are idle for too long.
+        """End connections that are idle for too long, or whose request is not received in time.
+
+        Those whose clients have left while reading was paused end as well.
 
         :param draining: close idle connections at once; their clients might keep them open indefinitely.
         """
         idle_timeout_ms = 0.0 if draining else limits.IDLE_TIMEOUT_MS
         for connection in list(self.open):
             age_ms = now_ms - connection.state_since_ms
-            if connection.state is ConnectionState.IDLE:
+            if connection.state is ConnectionState.ACTIVE:
+                connection.end_if_client_left()
+            elif connection.state is ConnectionState.IDLE:
                 if age_ms >= idle_timeout_ms and not has_unread_input(connection.transport):
                     connection.time_out()
             elif age_ms >= limits.REQUEST_TIMEOUT_MS and connection.has_transport:
@@ -128,11 +132,6 @@
             self.remove(connection)
         connection.time_out()
 
-    def end_left(self) -> None:
-        """End the connections whose clients have left while reading was paused."""
-        for connection in list(self.open):
-            connection.end_if_client_left()
-
     def close_half_closed(self, now_ms: float) -> None:
         """Close the half-closed connections whose clients have closed too, or whose timeout is over."""
         for connection in [candidate for candidate in self.half_closed if candidate.may_close(now_ms)]:
--- a/shaletiller/net/http_server.py
+++ b/shaletiller/net/http_server.py
@@ -121,7 +121,7 @@
 
     def apply_settings(self, settings: Settings) -> None:
         """Record the arrival times of requests if a class needs them; on new connections only."""
-        self._listener.record_arrival_times(any(spec.ordered for spec in settings.classes))
+        self._listener.record_arrival_times(settings.has_ordered_classes)
 
     def when_input_is_read(self, callback: Callable[[], None]) -> None:
         """Call `callback` once, when all requests that have arrived by now have been submitted."""
--- a/shaletiller/net/listener.py
+++ b/shaletiller/net/listener.py
@@ -247,7 +247,6 @@
     def _sweep(self) -> None:
         """Time out connections, and resume accepting, since the limit may not be reached any more."""
         now_ms = self.clock.now_ms()
-        self.table.end_left()
         self.table.time_out(now_ms, self.draining)
         self._close_half_closed()
         self._resume_accepting()
--- a/shaletiller/net/ordering/agent.py
+++ b/shaletiller/net/ordering/agent.py
@@ -58,7 +58,7 @@
         self._is_open = False
         self._waiting: dict[str, WaitingRequest] = {}  # by request id
         self._apply_durations(settings)
-        if self._link is None or not _has_ordered_classes(settings):
+        if self._link is None or not settings.has_ordered_classes:
             self._coordinator.become_owner(clock.now_ms(), alone=True)
 
     async def start(self, settings: Settings) -> None:
@@ -79,14 +79,14 @@
     def apply_settings(self, settings: Settings) -> None:
         """Apply new settings; the link is opened when a class is ordered for the first time."""
         self._apply_durations(settings)
-        if self._link is not None and not self._is_open and _has_ordered_classes(settings):
+        if self._link is not None and not self._is_open and settings.has_ordered_classes:
             self._is_open = True
             self._coordinator = Coordinator(self._coordinator.quiet_ms, self._coordinator.keep_ms)
             self._link.open()
 
     def _apply_durations(self, settings: Settings) -> None:
         self._coordinator.quiet_ms = settings.ordering_gap_ms
-        self._coordinator.keep_ms = max(spec.deadline_ms for spec in settings.classes)
+        self._coordinator.keep_ms = settings.longest_deadline_ms
 
     def stats(self) -> dict[str, int]:
         """Return figures for STATS; none while the link is closed."""
@@ -193,7 +193,3 @@
         self._execute(self._coordinator.farewell(self._clock.now_ms()))
         if self._link is not None:
             await self._link.close()
-
-
-def _has_ordered_classes(settings: Settings) -> bool:
-    return any(spec.ordered for spec in settings.classes)
--- a/shaletiller/ordering/coordinator.py
+++ b/shaletiller/ordering/coordinator.py
@@ -4,6 +4,8 @@
 
 from enum import Enum
 
+import msgspec
+
 from shaletiller.ordering.effects import Effect, GrantTurn, ReadOwnInput, RefuseTurn, SendMessage
 from shaletiller.ordering.messages import (
     Ask,
@@ -151,12 +153,7 @@
         for effect in effects:
             match effect:
                 case GrantTurn(request=request):
-                    self._turns[request] = _as_granted(self._turns[request])
+                    self._turns[request] = msgspec.structs.replace(self._turns[request], granted=True)
                 case RefuseTurn(request=request):
                     del self._turns[request]
         return effects
-
-
-def _as_granted(state: TurnState) -> TurnState:
-    """Return a turn as granted."""
-    return TurnState(state.request, state.key, state.arrived_ns, granted=True)
--- a/shaletiller/ordering/owner.py
+++ b/shaletiller/ordering/owner.py
@@ -82,11 +82,7 @@
         """Remove a turn, and grant the next ones of its key."""
         quiet_until_ms = now_ms + quiet_ms if quiet_ms > 0 else 0.0
         turn = self._table.release(process, request, quiet_until_ms)
-        if turn is None:
-            return []
-        granted = self._grant(turn.key, now_ms)
-        # The table forgets an unused key when its quiet period has ended.
-        return [*granted, WakeAt(quiet_until_ms, turn.key)] if quiet_until_ms else granted
+        return self._grant(turn.key, now_ms) if turn is not None else []
 
     def on_message(self, process: int, message: Message, now_ms: float) -> list[Effect]:
         """Handle a message of a follower."""
@@ -142,7 +138,7 @@
         return effects + self._start_round()
 
     def on_quiet_period_ended(self, key: str, now_ms: float) -> list[Effect]:
-        """Grant the turns of a key that a quiet period has delayed."""
+        """Grant the turns of a key that a quiet period has delayed, or forget the key."""
         return self._grant(key, now_ms)
 
     def farewell(self, quiet_ms: float, now_ms: float) -> list[Effect]:
--- a/shaletiller/ordering/turn_table.py
+++ b/shaletiller/ordering/turn_table.py
@@ -41,7 +41,10 @@
 
 @dataclass(slots=True, frozen=True)
 class GrantResult:
-    """Turns that are granted now, and the end of a quiet period that delays the next one, if there is one."""
+    """Turns that are granted now, and the time at which the key has to be looked at again, if any.
+
+    That is the end of a quiet period that delays the next turn, or after which the key can be forgotten.
+    """
 
     granted: list[Turn]
     retry_at_ms: float | None = None
@@ -64,10 +67,6 @@
         self._turns: dict[tuple[int, str], Turn] = {}
         self._quiet_until_ms = quiet_until_ms
 
-    def __len__(self) -> int:
-        """Return the number of turns."""
-        return len(self._turns)
-
     def add(self, turn: Turn) -> None:
         """Add a turn that is granted or waits."""
         self._turns[turn.process, turn.request] = turn
@@ -78,20 +77,25 @@
             insort(entry.waiting, turn, key=_arrived_ns)
 
     def grant(self, key: str, now_ms: float) -> GrantResult:
-        """Grant the turns of a key that may run now."""
+        """Grant the turns of a key that may run now; forget a key that is not used any more."""
         entry = self._keys.get(key)
         granted: list[Turn] = []
-        while entry is not None and entry.waiting:
+        if entry is None:
+            return GrantResult(granted)
+        while entry.waiting:
             turn = entry.waiting[0]
             if not turn.settled or any(other.process != turn.process for other in entry.granted):
-                break
+                return GrantResult(granted)
             quiet_until_ms = self._quiet_until(entry, turn.process)
             if quiet_until_ms > now_ms:
                 return GrantResult(granted, quiet_until_ms)
             turn.granted = True
             entry.granted.append(entry.waiting.pop(0))
             granted.append(turn)
-        self._forget_unused(key, now_ms)
+        if not entry.granted:
+            if entry.quiet_until_ms > now_ms:
+                return GrantResult(granted, entry.quiet_until_ms)
+            del self._keys[key]
         return GrantResult(granted)
 
     def _quiet_until(self, entry: KeyTurns, process: int) -> float:
@@ -126,8 +130,3 @@
     def quiet_until_ms(self) -> float:
         """Return the latest time until which any attempt of an ended request may still be running."""
         return max([self._quiet_until_ms, *(entry.quiet_until_ms for entry in self._keys.values())])
-
-    def _forget_unused(self, key: str, now_ms: float) -> None:
-        entry = self._keys.get(key)
-        if entry is not None and not (entry.granted or entry.waiting) and entry.quiet_until_ms <= now_ms:
-            del self._keys[key]
--- a/shaletiller/policy/key_ordering.py
+++ b/shaletiller/policy/key_ordering.py
@@ -64,7 +64,7 @@
     def _record_admission(self, head: PendingRequest) -> None:
         """Remember the request for as long as an earlier one could still be read and be served in time."""
         state, request = self._state, head.request
-        keep_ms = max(spec.deadline_ms for spec in state.site.settings.classes)
+        keep_ms = state.site.settings.longest_deadline_ms
         state.admitted_arrivals.record(request.object_key, request.arrived_ns, state.now_ms, keep_ms)
 
     def record_sent(self, pending: PendingRequest) -> None:
--- a/shaletiller/settings/model.py
+++ b/shaletiller/settings/model.py
@@ -154,6 +154,16 @@
     connection_idle_ms: float = 30000.0
     connect_timeout_ms: float = 250.0
 
+    @property
+    def has_ordered_classes(self) -> bool:
+        """Whether requests of any class have to be served in order of arrival."""
+        return any(spec.ordered for spec in self.classes)
+
+    @property
+    def longest_deadline_ms(self) -> float:
+        """The longest deadline of all request classes."""
+        return max(spec.deadline_ms for spec in self.classes)
+
     def __post_init__(self) -> None:
         """Check that there are classes and plans, and that the values are within their ranges."""
         if not self.classes:
