Let the owner of the order follow a reload of the longest deadline

What was seen, on reading: after SIGHUP with a longer deadline the owner remembered granted turns for as long as the old one, so a request that was read very late could have run after a later one of the other process. Cause: the owner got a copy of the duration when it became the owner; the coordinator's was changed alone. The new test fails with the copy left as it was. tests/ordering: 326 passed.

--- a/shaletiller/net/ordering/agent.py
+++ b/shaletiller/net/ordering/agent.py
@@ -53,11 +53,10 @@
     def __init__(self, engine: Engine, clock: Clock, settings: Settings, link_name: str | None) -> None:
         self._engine = engine
         self._clock = clock
-        self._coordinator = Coordinator(0.0, 0.0)
+        self._coordinator = Coordinator(settings.ordering_gap_ms, settings.longest_deadline_ms)
         self._link = ProcessLink(link_name, self) if link_name is not None else None
         self._is_open = False
         self._waiting: dict[str, WaitingRequest] = {}  # by request id
-        self._apply_durations(settings)
         if self._link is None or not settings.has_ordered_classes:
             self._coordinator.become_owner(clock.now_ms(), alone=True)
 
@@ -78,16 +77,12 @@
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply new settings; the link is opened when a class is ordered for the first time."""
-        self._apply_durations(settings)
+        self._coordinator.apply_durations(settings.ordering_gap_ms, settings.longest_deadline_ms)
         if self._link is not None and not self._is_open and settings.has_ordered_classes:
             self._is_open = True
             self._coordinator = Coordinator(self._coordinator.quiet_ms, self._coordinator.keep_ms)
             self._link.open()
 
-    def _apply_durations(self, settings: Settings) -> None:
-        self._coordinator.quiet_ms = settings.ordering_gap_ms
-        self._coordinator.keep_ms = settings.longest_deadline_ms
-
     def stats(self) -> dict[str, int]:
         """Return figures for STATS; none while the link is closed."""
         if not self._is_open:
--- a/shaletiller/ordering/coordinator.py
+++ b/shaletiller/ordering/coordinator.py
@@ -54,6 +54,12 @@
         # Without the owner's farewell, its end is a crash, after which its attempts may still be running.
         self._farewell_quiet_ms: float | None = None
 
+    def apply_durations(self, quiet_ms: float, keep_ms: float) -> None:
+        """Apply new settings; the parameters are those of the constructor."""
+        self.quiet_ms, self.keep_ms = quiet_ms, keep_ms
+        if self._owner is not None:
+            self._owner.keep_ms = keep_ms
+
     @property
     def role(self) -> Role:
         """The part of this process."""
--- a/tests/ordering/test_turns.py
+++ b/tests/ordering/test_turns.py
@@ -382,6 +382,21 @@
     assert owner.waiting == 0
 
 
+def test_a_reload_changes_how_long_the_owner_remembers_a_turn() -> None:
+    """Guards against an owner that keeps the deadline of the settings with which it became the owner."""
+    owner = Coordinator(QUIET_MS, 1.0)
+    owner.become_owner(0.0, alone=True)
+    owner.apply_durations(QUIET_MS, KEEP_MS)
+    owner.on_message(1, Hello(), 0.0)
+    (_, round_of_input) = owner.on_message(1, Ask(TurnState("late", "k", 20)), 1.0)
+    owner.on_message(1, InputRead(round_of_input.round), 1.0)
+    owner.on_input_read(round_of_input.round, 1.0)
+    (_, round_of_input) = owner.on_message(1, Ask(TurnState("other", "k2", 30)), 3.0)
+    owner.on_message(1, InputRead(round_of_input.round), 3.0)
+    owner.on_input_read(round_of_input.round, 3.0)  # turns that are kept for 1 ms are forgotten by now
+    assert owner.ask("early", "k", 10, 4.0) == [RefuseTurn("early")]
+
+
 def test_messages_between_processes_are_these_lines() -> None:
     """Guards against processes of two versions that do not understand each other during an upgrade."""
     state = '{"request":"r","key":"k","arrived_ns":5,"granted":false}'
