Run the processes of the order's tests with the laboratory's GatewayProcess

tests/support/ordered_gateway.py had written again what lab/gateway_processes.py has: start, READY, calls, STATS, kill. It is a subclass now, with the shared address and TMPDIR.

--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -81,9 +81,9 @@
     return sum(int(row[4].split(":")[1], 16) for row in kernel_tcp_rows(port, 1) if row[3] == "0A")
 
 
-async def wait_until(condition: Callable[[], object], description: str) -> None:
+async def wait_until(condition: Callable[[], object], description: str, timeout_s: float = TIMEOUT_S) -> None:
     try:
-        async with asyncio.timeout(TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             while not condition():
                 await asyncio.sleep(0.005)
     except TimeoutError:
--- a/tests/ordering/test_ordering_process.py
+++ b/tests/ordering/test_ordering_process.py
@@ -7,9 +7,8 @@
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any
 
-from tests.net.test_endings import RawClient, encode_request
+from tests.net.test_endings import RawClient, encode_request, wait_until
 from tests.support.ordered_gateway import (
     LONG_MS,
     WAIT_S,
@@ -36,6 +35,8 @@
         config = gateway_config(node_port)
         self.owner, self.follower = (GatewayProcess(Path(folder.name), config) for _ in range(2))
         self.written = 0
+        self.clients: list[RawClient] = []
+        self.addAsyncCleanup(self.end_all)  # also after a set-up that fails
         await self.owner.start()
         self.owner_clients = await self.owner.connect(8)
         await self.follower.start()
@@ -43,11 +44,11 @@
         pairs = zip(self.owner_clients, self.follower_clients, strict=True)
         self.clients = [client for pair in pairs for client in pair]
 
-    async def asyncTearDown(self) -> None:
+    async def end_all(self) -> None:
         for client in self.clients:
             client.close()
-        await self.owner.end()
-        await self.follower.end()
+        await self.owner.kill()
+        await self.follower.kill()
         self.node.close()
 
     def write(self, client: RawClient, timeout_ms: float = LONG_MS) -> None:
@@ -75,17 +76,6 @@
 
         return await asyncio.gather(*map(status, clients))
 
-    async def wait_for(self, condition: Any, what: str) -> None:
-        try:
-            async with asyncio.timeout(WAIT_S):
-                while not condition():
-                    await asyncio.sleep(0.005)
-        except TimeoutError:
-            self.fail(f"timed out waiting: {what}")
-
-    def check_order(self) -> None:
-        self.node.check_order()
-
 
 class OrderBesideAnotherProcess(TwoProcesses):
     """Both processes go on."""
@@ -96,9 +86,9 @@
             for client in self.clients:
                 self.write(client)
             self.assertEqual(await self.statuses(self.clients), [200] * len(self.clients))
-        self.check_order()
-        self.assertEqual((await self.owner.stats())["order.followers"], "1")
-        self.assertEqual((await self.follower.stats())["order.role"], "1")
+        self.node.check_order()
+        self.assertEqual((await self.owner.stats())["edge.order.followers"], 1)
+        self.assertEqual((await self.follower.stats())["edge.order.role"], 1)
 
     async def test_writes_while_the_owner_ends_are_served_in_order(self) -> None:
         """Guards against an order that is lost, or requests that are, as the order is handed over."""
@@ -112,8 +102,8 @@
         self.assertEqual(await ended, 0)
         self.write(self.follower_clients[0])
         self.assertEqual(await self.statuses(self.follower_clients[:1]), [200])
-        self.assertEqual((await self.follower.stats())["order.role"], "2")
-        self.check_order()
+        self.assertEqual((await self.follower.stats())["edge.order.role"], 2)
+        self.node.check_order()
 
     async def check_while_one_stands_still(self, still: GatewayProcess, other: list[RawClient]) -> None:
         still.process.send_signal(signal.SIGSTOP)
@@ -132,7 +122,7 @@
             self.write(client)
         still.process.send_signal(signal.SIGCONT)
         self.assertEqual(await self.statuses(self.clients), [200] * len(self.clients))
-        self.check_order()
+        self.node.check_order()
 
     async def test_no_write_overtakes_one_of_an_owner_that_stands_still(self) -> None:
         """Guards against a follower that takes over while the owner may still have an older write."""
@@ -151,13 +141,13 @@
     async def check_after_a_kill(self, killed: GatewayProcess, survivors: list[RawClient]) -> None:
         for client in self.clients:
             self.write(client)
-        await self.wait_for(lambda: self.node.begun >= 2 * KEYS, "writes of both processes have begun")
+        await wait_until(lambda: self.node.begun >= 2 * KEYS, "writes of both processes", WAIT_S)
         killed.process.kill()
         self.assertEqual(await self.statuses(survivors), [200] * len(survivors))
         for client in survivors:
             self.write(client)
         self.assertEqual(await self.statuses(survivors), [200] * len(survivors))
-        self.check_order()
+        self.node.check_order()
 
     async def test_no_write_runs_beside_one_of_an_owner_that_was_killed(self) -> None:
         """Guards against a new owner that does not wait for attempts of the previous one."""
--- a/tests/ordering/test_ordering_soak.py
+++ b/tests/ordering/test_ordering_soak.py
@@ -68,7 +68,7 @@
             self.done = True
             await asyncio.gather(*clients)
             for process in self.processes:
-                await process.end()
+                await process.kill()
             self.node.close()
 
     async def start(self, config: dict[str, object]) -> GatewayProcess:
@@ -96,7 +96,7 @@
             for _ in range(self.random.randrange(4)):
                 await self.hold_up(self.random.choice((old, new)))
             await asyncio.sleep(max(0.0, killed_at - time.monotonic()))
-            await old.end()
+            await old.kill()
         for client in crowd:
             client.close()
         return new
--- a/tests/support/ordered_gateway.py
+++ b/tests/support/ordered_gateway.py
@@ -4,19 +4,17 @@
 
 import asyncio
 import itertools
-import json
 import math
-import sys
 import time
 from collections import defaultdict
 from pathlib import Path
 from typing import Any
 
+from shaletiller.lab import gateway_processes
 from shaletiller.lab.port_reservations import reserve_port
 from tests.net.test_endings import RawClient, encode_request
 from tests.support.scenario import SETTINGS, read_message
 
-ROOT = Path(__file__).parent.parent.parent
 request_numbers = itertools.count(1000)
 LONG_MS = 20_000.0  # longer than a busy machine needs for a test
 WAIT_S = 30.0
@@ -75,45 +73,20 @@
         return sum(map(len, self.runs.values()))
 
 
-class GatewayProcess:
-    """One process of the gateway."""
+class GatewayProcess(gateway_processes.GatewayProcess):
+    """One of several processes of a gateway: they share its address and `TMPDIR`."""
 
     def __init__(self, folder: Path, config: dict[str, Any]) -> None:
-        self.admin_port = reserve_port()
-        self.folder, self.config = folder, config
-        self.port = int(config["listen"].split(":")[1])
-
-    async def start(self) -> None:
-        path = self.folder / f"config-{self.admin_port}.json"
-        path.write_text(json.dumps(self.config | {"admin": f"127.0.0.1:{self.admin_port}"}))
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "shaletiller",
-            cwd=ROOT,
-            env={"EDGE_CONFIG": str(path), "TMPDIR": str(self.folder)},
-            stderr=asyncio.subprocess.DEVNULL,
-        )
-        async with asyncio.timeout(WAIT_S):
-            while not await self.is_ready():
-                await asyncio.sleep(0.02)
-
-    async def is_ready(self) -> bool:
-        try:
-            return (await self.call("READY"))[0].startswith("done")
-        except OSError:
-            return False
-
-    async def call(self, line: str) -> list[str]:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.admin_port)
-        writer.write(line.encode() + b"\n")
-        response = (await reader.read()).decode().splitlines()
-        writer.close()
-        return response or ["none"]
-
-    async def stats(self) -> dict[str, str]:
-        lines = await self.call("STATS")
-        return dict(line.removeprefix("edge.").split("=") for line in lines if "=" in line)
+        super().__init__(config["name"], folder / f"process-{next(request_numbers)}", config)
+        self.port = int(config["listen"].split(":")[1])  # not the one that was reserved for it
+
+    def _environment(self) -> dict[str, str]:
+        return super()._environment() | {"TMPDIR": str(self.folder.parent)}
+
+    @property
+    def process(self) -> asyncio.subprocess.Process:
+        assert self._process is not None
+        return self._process
 
     async def connect(self, count: int) -> list[RawClient]:
         """Connect clients to this process, which shares its address with another one."""
@@ -121,19 +94,17 @@
         async with asyncio.timeout(WAIT_S):
             while len(clients) < count:
                 client = await RawClient.open(("127.0.0.1", self.port))
-                before = await self.stats()
+                served_before = await self.served_reads()
                 client.send(encode_request(next(request_numbers), Request_Timeout_Ms="9000"))
                 await client.read_response()
-                if (await self.stats())["results.read.succeeded"] != before["results.read.succeeded"]:
+                if await self.served_reads() != served_before:
                     clients.append(client)
                 else:
                     client.close()
         return clients
 
-    async def end(self) -> None:
-        if self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+    async def served_reads(self) -> int:
+        return (await self.stats())["edge.results.read.succeeded"]
 
 
 def gateway_config(node_port: int, settings: dict[str, Any] | None = None) -> dict[str, Any]:
