Measure the times of the NVMe upstream client by the gateway's clock

Cause: the test ran in real time, and its write has a deadline of 150 ms. A hold-up of the process of about 145 ms between the acceptance of the request and its command ends the write before it is sent. The client's connect timeout of 250 ms read the system's clock, so that the gateway's settable clock alone could not have protected the test.

Evidence: with the event loop held for 160 ms at 0, 1, 2, 3 or 5 ms after the request, the test failed each time with the same line, the same warning of the watch call and no command at the node (trial with a plugin); with 130 ms it passed each time.

Change: Clock.timeout interrupts a block by the gateway's clock; the NVMe upstream client takes its connect timeout, its start limit and its idle times from it. The test runs on the settable clock: the deadline passes only after the node has received the write. A new test holds the event loop for longer than the connect timeout; it failed before the change.

The test of idle associations set a private attribute and waited 50 ms; it now lets the idle time pass on the settable clock and checks that the association is open until then.

--- a/shaletiller/clock.py
+++ b/shaletiller/clock.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import heapq
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
 
 
@@ -56,6 +57,20 @@
         finally:
             timer.cancel()
 
+    @contextlib.asynccontextmanager
+    async def timeout(self, delay_ms: float) -> AsyncIterator[None]:
+        """Interrupt the body of an `async with` statement that has not ended after a delay.
+
+        :raises TimeoutError: it was interrupted.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(None) as timeout:
+            timer = self.call_later(delay_ms, lambda: timeout.reschedule(loop.time()))
+            try:
+                yield
+            finally:
+                timer.cancel()
+
 
 class _ScheduledCall:
     """A timer of a `SettableClock`."""
--- a/shaletiller/gateway.py
+++ b/shaletiller/gateway.py
@@ -129,7 +129,7 @@
 
         sockets = self.config.upstream_sockets // 2 // len(upstreams)
         return {
-            upstream.node: NvmeUpstreamClient(upstream, self.config.settings, sockets)
+            upstream.node: NvmeUpstreamClient(upstream, self.config.settings, sockets, self._clock)
             for upstream in upstreams
         }
 
--- a/shaletiller/net/nvme/association.py
+++ b/shaletiller/net/nvme/association.py
@@ -25,12 +25,12 @@
 
 
 class Association:
-    """An admin queue and an I/O queue; `idle_since_s` is the monotonic time of the last command's end."""
+    """An admin queue and an I/O queue; `idle_since_ms` is the time of the last command's end."""
 
     def __init__(self, admin: HostQueue, io: HostQueue) -> None:
         self.admin = admin
         self.io = io
-        self.idle_since_s = 0.0
+        self.idle_since_ms = 0.0
 
     @classmethod
     async def open(cls, host: str, port: int, config: NvmeUpstreamConfig) -> Association:
--- a/shaletiller/net/nvme/upstream.py
+++ b/shaletiller/net/nvme/upstream.py
@@ -9,8 +9,8 @@
 import asyncio
 import logging
 import math
-import time
 
+from shaletiller.clock import Clock
 from shaletiller.config import NvmeUpstreamConfig, read_address
 from shaletiller.core.model import AttemptResult, ClientCall
 from shaletiller.messages.outcomes import Outcome
@@ -29,7 +29,6 @@
 # smaller value leaves more margin but opens more associations.
 IDLE_TIMEOUT_RATIO = 0.8
 SOCKETS_PER_ASSOCIATION = 2
-MS_PER_S = 1000
 # Error statuses which prove that the controller did not start the command; after any other the command may
 # have run.
 NOT_STARTED_STATUSES = frozenset({Status.NOT_READY, Status.ANA_INACCESSIBLE, Status.ANA_TRANSITION})
@@ -42,8 +41,11 @@
     :param max_sockets: the maximum number of connections, in use or idle.
     """
 
-    def __init__(self, config: NvmeUpstreamConfig, settings: Settings, max_sockets: int) -> None:
+    def __init__(
+        self, config: NvmeUpstreamConfig, settings: Settings, max_sockets: int, clock: Clock
+    ) -> None:
         self._config = config
+        self._clock = clock
         self.apply_settings(settings)
         self._association_slots = asyncio.Semaphore(max(1, max_sockets // SOCKETS_PER_ASSOCIATION))
         # Pairs of address and association, the most recently used last.
@@ -51,8 +53,8 @@
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply new settings; they take effect for later attempts and idle periods."""
-        self._connect_timeout_s = settings.connect_timeout_ms / MS_PER_S
-        self._idle_timeout_s = settings.connection_idle_ms / MS_PER_S * IDLE_TIMEOUT_RATIO
+        self._connect_timeout_ms = settings.connect_timeout_ms
+        self._idle_timeout_ms = settings.connection_idle_ms * IDLE_TIMEOUT_RATIO
 
     async def attempt(
         self,
@@ -76,23 +78,23 @@
                 call.key,
             )
             return AttemptResult(Outcome.ERROR)
-        start_deadline_s = time.monotonic() + start_within_ms / MS_PER_S
+        start_deadline_ms = self._clock.now_ms() + start_within_ms
         try:
-            async with asyncio.timeout(min(self._connect_timeout_s, start_within_ms / MS_PER_S)):
+            async with self._clock.timeout(min(self._connect_timeout_ms, start_within_ms)):
                 await self._association_slots.acquire()
         except TimeoutError:
             return AttemptResult(Outcome.CONNECT_FAILED)
         try:
-            return await self._attempt(address, call, block, start_deadline_s)
+            return await self._attempt(address, call, block, start_deadline_ms)
         finally:
             self._association_slots.release()
 
     async def _attempt(
-        self, address: str, call: ClientCall, block: int, start_deadline_s: float
+        self, address: str, call: ClientCall, block: int, start_deadline_ms: float
     ) -> AttemptResult:
         try:
-            start_within_s = max(0.0, min(self._connect_timeout_s, start_deadline_s - time.monotonic()))
-            async with asyncio.timeout(start_within_s):
+            start_within_ms = start_deadline_ms - self._clock.now_ms()
+            async with self._clock.timeout(min(self._connect_timeout_ms, start_within_ms)):
                 association = await self._acquire(address)
         except ASSOCIATION_ERRORS as error:
             self._log_failure(call, "could not connect", error)
@@ -150,23 +152,23 @@
         if not reusable or association.closing:
             association.abort()
             return
-        association.idle_since_s = time.monotonic()
+        association.idle_since_ms = self._clock.now_ms()
         self._idle_associations.append((address, association))
-        asyncio.get_running_loop().call_later(self._idle_timeout_s, self._close_expired)
+        self._clock.call_later(self._idle_timeout_ms, self._close_expired)
 
     def _close_expired(self) -> None:
         """Close the idle associations that have timed out or that the storage node has closed."""
-        now_s = time.monotonic()
+        now_ms = self._clock.now_ms()
         for entry in list(self._idle_associations):
             association = entry[1]
-            if association.closing or now_s - association.idle_since_s >= self._idle_timeout_s:
+            if association.closing or now_ms - association.idle_since_ms >= self._idle_timeout_ms:
                 self._idle_associations.remove(entry)
                 association.abort()
 
     async def probe(self, address: str) -> AttemptResult:
         """Check that an association can be opened; an NVMe storage node returns no load report."""
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with self._clock.timeout(self._connect_timeout_ms):
                 (await self._acquire(address)).abort()
         except TimeoutError:
             return AttemptResult(Outcome.TIMEOUT)
--- a/tests/nvme/test_scenarios_nvme.py
+++ b/tests/nvme/test_scenarios_nvme.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import struct
+import time
 import unittest.mock
 from collections import Counter
 from typing import Any
@@ -15,6 +16,7 @@
 from shaletiller.net.nvme import capsules, commands, pdu
 from shaletiller.net.nvme.errors import FatalErrorStatus, PduError
 from shaletiller.net.nvme.status import Status
+from shaletiller.net.nvme.upstream import IDLE_TIMEOUT_RATIO
 from tests.net.test_endings import wait_until
 from tests.support.scenario import NvmeNode, Scenario, Server, key, on_settable_clock, read_message
 
@@ -354,6 +356,8 @@
             "send c1 PUT 5 a\nexpect b1 write 5 a\nwait 200\nsend b1 ok\nexpect c1 200\nexpect b1 nothing"
         )
 
+    # Guards against a write that a hold-up of the machine ends before the node has received it.
+    @on_settable_clock
     async def test_a_write_that_exceeds_its_deadline_fails_and_is_sent_once(self) -> None:
         """A storage node does not complete a write before its deadline.
 
@@ -365,6 +369,18 @@
         )
         self.assertEqual(len((await self.party("b1")).writes), 1)
 
+    # Guards against a connect timeout that is not measured by the clock of the gateway.
+    @on_settable_clock
+    async def test_the_connect_timeout_runs_on_the_clock_of_the_gateway(self) -> None:
+        """The event loop is held up for longer than the connect timeout while an association is opened.
+
+        No time has passed on the gateway's clock: the write is served by its first attempt.
+        """
+        await self.play("send c1 PUT 5 a")
+        await wait_until(lambda: self.gateway.engine.attempts.in_flight, "the first attempt")
+        time.sleep(1.2 * self.gateway.config.settings.connect_timeout_ms / 1000)
+        await self.play("expect b1 write 5 a\nsend b1 ok\nexpect c1 200")
+
     async def test_a_write_whose_connection_fails_after_its_capsule_is_never_retried(self) -> None:
         """A storage node closes the connection after it has received the command capsule.
 
@@ -432,16 +448,17 @@
             "send c1 PUT 5 a\nexpect b1 write 5 a\nsend b1 fault\nexpect c1 502\nexpect b1 nothing"
         )
 
+    @on_settable_clock
     async def test_an_association_is_reused_and_closed_when_idle(self) -> None:
         """Three consecutive reads share one association, which is closed after its idle timeout."""
         for number in range(3):
             await self.play(f"send c1 GET {number}\nexpect b1 read {number}\nsend b1 ok\nexpect c1 200")
-        node, upstream = await self.party("b1"), self.gateway._nvme_clients["b1"]
+        node = await self.party("b1")
+        idle_ms = IDLE_TIMEOUT_RATIO * self.gateway.config.settings.connection_idle_ms
+        await self.play(f"wait {idle_ms - 1}")
         self.assertEqual(len(node.target.controllers), 1)
-        upstream._idle_timeout_s = 0.0
-        upstream._close_expired()
-        await self.play("wait 50")
-        self.assertEqual(node.target.controllers, {})
+        await self.play("wait 1")
+        await wait_until(lambda: not node.target.controllers, "the end of the association")
 
 
 class LargeBlocks(Scenario):
