Measure connect and body timeouts of HTTP attempts by the gateway's clock

Cause: aiohttp measures the connect timeout by the event loop's time, as does the timeout for the rest of a response and that of a health check; the gateway's clock can be set, these cannot.

Change: UpstreamConnector.connect, the reading of a body and health checks use Clock.timeout. With the real clock the durations are the same. allow_any_connect_time is no longer needed by its two tests, which run with the configured connect timeout now.

--- a/shaletiller/net/http_upstream.py
+++ b/shaletiller/net/http_upstream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import logging
 import math
@@ -36,7 +35,7 @@
 # Time for receiving the rest of a response after its head.  Nodes write a response at once: one that stops
 # midway will not continue, and the attempt can be retried.  The value must exceed a retransmission on the
 # site's network; a larger value leaves less time for the retry.
-BODY_TIMEOUT_S = 0.1
+BODY_TIMEOUT_MS = 100.0
 # Limits of a node's response; they limit the memory of one connection.
 RESPONSE_LIMITS: Any = {
     "read_bufsize": MAX_BODY_BYTES,
@@ -268,11 +267,10 @@
         latency_ms = self._node_latency_ms(response._protocol)
         return self._make_result(response.status, response.headers, body, latency_ms)
 
-    @staticmethod
-    async def _read_body(headers: Mapping[str, str], content: aiohttp.StreamReader) -> bytes | None:
+    async def _read_body(self, headers: Mapping[str, str], content: aiohttp.StreamReader) -> bytes | None:
         """Read the body of a response.
 
-        :returns: None if the body is too large, has no defined end or is incomplete after `BODY_TIMEOUT_S`;
+        :returns: None if the body is too large, has no defined end or is incomplete after `BODY_TIMEOUT_MS`;
             the connection must then not be reused.
         """
         length = headers.get("Content-Length")
@@ -282,7 +280,7 @@
         with contextlib.suppress(TimeoutError):
             if content.is_eof():
                 return await read_bounded(content)
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with self._clock.timeout(BODY_TIMEOUT_MS):
                 return await read_bounded(content)
         return None
 
@@ -338,15 +336,16 @@
         path = "/metrics/load" if self._settings.load_report_fields else "/alive"
         started_ms = self._clock.now_ms()
         try:
-            async with asyncio.timeout(self._settings.connect_timeout_ms / 1000):
-                async with self._session().get(URL(f"http://{address}{path}", encoded=True)) as response:
-                    body = await self._read_body(response.headers, response.content)
-                    if body is None:
-                        response.close()
-                    text = (body or b"").decode(errors="replace")
-                    outcome = Outcome.OK if response.status == 200 else Outcome.ERROR
-                    report = parse_load_report(text, self._settings.load_report_fields)
-                    return AttemptResult(outcome, load_report=report)
+            url = URL(f"http://{address}{path}", encoded=True)
+            connect_timeout_ms = self._settings.connect_timeout_ms
+            async with self._clock.timeout(connect_timeout_ms), self._session().get(url) as response:
+                body = await self._read_body(response.headers, response.content)
+                if body is None:
+                    response.close()
+                text = (body or b"").decode(errors="replace")
+                outcome = Outcome.OK if response.status == 200 else Outcome.ERROR
+                report = parse_load_report(text, self._settings.load_report_fields)
+                return AttemptResult(outcome, load_report=report)
         except TimeoutError:
             return AttemptResult(Outcome.TIMEOUT)
         except Exception:
--- a/shaletiller/net/pool.py
+++ b/shaletiller/net/pool.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
 
 from shaletiller.clock import Clock
@@ -27,6 +27,8 @@
 # value opens fewer new connections.
 REUSE_DELAY_S = 0.01
 
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+
 RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] (\d)\d\d[^\r\n]*\r\n((?:[^\r\n]+\r\n)*)\r\n")
 CONTENT_LENGTH_LINE = re.compile(rb"^content-length:[ \t]*(\d{1,9})[ \t]*\r$", re.IGNORECASE | re.MULTILINE)
 NON_TEXT = re.compile(rb"[^\t\n\r -~]")
@@ -128,6 +130,19 @@
         should_close = not reusable or address not in self._keys
         self._release(protocol.connection_key, protocol, should_close=should_close)
 
+    async def connect(
+        self, req: ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        """Take an idle connection or open one; called by aiohttp.
+
+        :param timeout: its `connect` is measured by the gateway's clock.
+        :raises TimeoutError: there is no connection in time.
+        """
+        if timeout.connect is None:
+            return await super().connect(req, traces, timeout)
+        async with self._clock.timeout(timeout.connect * 1000):
+            return await super().connect(req, traces, NO_TIMEOUT)
+
     async def _get(self, key: ConnectionKey, traces: list[Any]) -> Any:
         """Take an idle connection; called by aiohttp."""
         protocol = self._acquire(key)
--- a/tests/net/test_scenarios_http.py
+++ b/tests/net/test_scenarios_http.py
@@ -637,13 +637,24 @@
             self.assertTrue(listener._evict_connection())
             await self.play("expect c0 200\nexpect c1 end")
 
+    # Guards against a connect timeout that is not measured by the clock of the gateway.
+    @on_settable_clock
+    async def test_the_connect_timeout_runs_on_the_clock_of_the_gateway(self) -> None:
+        """The event loop is held up for longer than the connect timeout while an attempt connects.
+
+        No time has passed on the gateway's clock: the request is served by its first attempt.
+        """
+        await self.play("send c1 PUT 1 a")
+        await wait_until(lambda: self.gateway.engine.attempts.in_flight, "the first attempt")
+        time.sleep(1.2 * self.gateway.config.settings.connect_timeout_ms / 1000)
+        await self.play("expect n1 PUT 1 a\nsend n1 200 b\nexpect c1 200 b")
+
     @on_settable_clock
     async def test_the_connections_to_one_node_are_bounded(self) -> None:
         """More requests are in progress than the maximum of connections to a node.
 
         The remaining requests must wait for a connection, and no further connections may be opened.
         """
-        self.allow_any_connect_time()
         max_per_node = self.gateway._http.max_per_node
         for number in range(max_per_node + 2):
             await self.play(f"send c{number} GET {number}")
--- a/tests/policy/test_other_customers.py
+++ b/tests/policy/test_other_customers.py
@@ -114,7 +114,6 @@
         ]
         self.plan += [(kind, 0, "silent", 0) for kind in range(4)]
         self.parties["n1"].script = self.respond
-        self.allow_any_connect_time()
         found = []
         for at in range(0, len(self.plan), 3):
             async with asyncio.timeout(WAVE_TIMEOUT_S):
