Let a hold-up of the process count as one short step of time in scenarios

Cause: the gateways of scenarios ran in real time, so that a hold-up of the machine ended requests, connects and idle connections within a test.

Change: Scenario runs its gateway on a SteadyClock, which follows real time in steps of 5 ms at most; the event loop runs between two steps. allow_any_connect_time is gone. One test patched an attribute of the real clock to jump over a grace period of 3 s; it advances the clock instead, by which timers run too, and opens its second connection after that, as an unused one is closed meanwhile. Second gateways of a test share its clock.

--- a/tests/gateway/test_operators.py
+++ b/tests/gateway/test_operators.py
@@ -197,7 +197,7 @@
         ejected.
         """
         await self.play("send a1 DISABLE n1\nexpect a1 done n1")
-        next_process = Gateway(read_config(self.env, self.nvme))
+        next_process = Gateway(read_config(self.env, self.nvme), self.clock)
         next_process.discovery.start_from_known = lambda: None  # type: ignore[method-assign]
         next_process.ejections.reload()
         self.assertEqual(next_process.engine.ejected, {"n1"})
@@ -208,7 +208,7 @@
         This process must send requests to the node again.
         """
         await self.play("send a1 DISABLE n1\nexpect a1 done n1")
-        other = Gateway(read_config(self.env, self.nvme))
+        other = Gateway(read_config(self.env, self.nvme), self.clock)
         other.ejections.reload()
         other.ejections.remove("n1")
         await self.play("""
--- a/tests/net/test_endings_nodes.py
+++ b/tests/net/test_endings_nodes.py
@@ -428,7 +428,7 @@
 
         The call must request the full list from the new address.
         """
-        second, agent = Gateway(read_config(self.env, self.nvme)), await self.party("d2")
+        second, agent = Gateway(read_config(self.env, self.nvme), self.clock), await self.party("d2")
         self.config_document["discovery"] = f"127.0.0.1:{agent.port}"
         self.config.write_text(json.dumps(self.config_document))
         second.reload(read_config_again(self.env, self.nvme))
@@ -559,20 +559,20 @@
 
         The node must get no further requests, and the one in progress must get its response.
         """
-        client, late = await self.connect_client(), await self.connect_client()
+        client = await self.connect_client()
         client.send(encode_request(1, "PUT", b"x", Request_Timeout_Ms="5000"))
         await self.play("expect n1 PUT 1 x")
-        clock = self.gateway._clock
         await self.play("send d n1=leaving")
         await wait_until(
             lambda: self.gateway.engine.endpoints["n1"].entry.state is EndpointState.DRAINING, "the drain"
         )
-        with PATCH.object(clock, "_offset_ms", clock._offset_ms + 3000.0):  # its grace period is over
-            late.send(encode_request(2, "PUT", b"y", Request_Timeout_Ms="200"))
-            self.assertEqual((await late.read_response())[0], 503)
-            self.assertEqual(self.requests_received, 0)
-            await self.play("send n1 200 ok")
-            self.assertEqual(await client.read_response(), (200, b"ok"))
+        self.clock.advance(3000.0)  # its grace period is over
+        late = await self.connect_client()
+        late.send(encode_request(2, "PUT", b"y", Request_Timeout_Ms="200"))
+        self.assertEqual((await late.read_response())[0], 503)
+        self.assertEqual(self.requests_received, 0)
+        await self.play("send n1 200 ok")
+        self.assertEqual(await client.read_response(), (200, b"ok"))
 
     async def test_a_lower_version_after_discovery_has_moved_is_applied(self) -> None:
         """A reload changes to another discovery service, whose versions are lower.
@@ -600,7 +600,7 @@
 
         :returns: duration of the start in seconds, and the status of `GET /up`.
         """
-        gateway = Gateway(read_config(self.env, self.nvme))
+        gateway = Gateway(read_config(self.env, self.nvme), self.clock)
         started_s = time.monotonic()
         await gateway.start()
         self.addAsyncCleanup(gateway.engine.close)
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -24,18 +24,18 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import json
 import re
 import shlex
 import struct
 import tempfile
+import time
 import unittest
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
-from shaletiller.clock import Clock, SettableClock
+from shaletiller.clock import SettableClock
 from shaletiller.config import NvmeNamespace, NvmeTargetConfig, read_config, read_config_again
 from shaletiller.core.model import ClientCall, Exchange, FinalResponse, FinalResult
 from shaletiller.gateway import Gateway
@@ -48,6 +48,8 @@
 
 TIMEOUT_S = 3.0
 START_MS = 1.8e12  # the initial time of a settable clock
+STEP_S = 0.001
+MAX_STEP_MS = 5.0
 # Iterations of the event loop after a settable clock is advanced, in which the waiting coroutines run.
 LOOP_TURNS = 10
 VOLUME = "00000003b4d60021"
@@ -83,6 +85,22 @@
 }
 
 
+class SteadyClock(SettableClock):
+    """Real time in short steps, between which the event loop runs.
+
+    A hold-up of the process counts as one step: it makes a scenario slow, but no deadline passes meanwhile.
+    """
+
+    async def run(self) -> None:
+        """Advance with real time, until it is cancelled."""
+        last_s = time.monotonic()
+        while True:
+            await asyncio.sleep(STEP_S)
+            now_s = time.monotonic()
+            self.advance(min(1000 * (now_s - last_s), MAX_STEP_MS))
+            last_s = now_s
+
+
 def on_settable_clock(test: Callable[..., Any]) -> Callable[..., Any]:
     """Run the gateway of a test on a settable clock, whose time changes only by `wait`."""
     test.on_settable_clock = True  # type: ignore[attr-defined]
@@ -474,7 +492,11 @@
         self.config.write_text(json.dumps(self.config_document))
         self.env = {"EDGE_CONFIG": str(self.config), "TMPDIR": folder.name, **await self.environment()}
         test = getattr(self, self._testMethodName)
-        self.clock = SettableClock(START_MS) if hasattr(test, "on_settable_clock") else Clock()
+        self.clock = SettableClock(START_MS)
+        self.time_task: asyncio.Task[None] | None = None
+        if not hasattr(test, "on_settable_clock"):
+            self.clock = SteadyClock(START_MS)
+            self.time_task = asyncio.ensure_future(self.clock.run())
         self.gateway = Gateway(read_config(self.env, nvme), self.clock)
         await self.gateway.start()
 
@@ -504,10 +526,12 @@
             await self.stop_all()
         finally:
             clock_task.cancel()
+            if self.time_task is not None:
+                self.time_task.cancel()
 
     async def let_time_pass(self) -> None:
         """Advance a settable clock continuously, so that a gateway can stop after a failed test."""
-        while isinstance(self.clock, SettableClock):
+        while not isinstance(self.clock, SteadyClock):
             self.clock.advance(1.0)
             await asyncio.sleep(0.001)
 
@@ -545,15 +569,10 @@
             await self.parties[name].start()
         return self.parties[name]
 
-    def allow_any_connect_time(self) -> None:
-        """Raise the connect timeout, which does not run on the settable clock, for busy machines."""
-        settings = dataclasses.replace(self.gateway.config.settings, connect_timeout_ms=60_000.0)
-        self.gateway._http.apply_settings(settings)
-
     async def wait(self, wait_ms: float) -> None:
         """Wait for a duration of the gateway's clock."""
-        if not isinstance(self.clock, SettableClock):
-            await asyncio.sleep(wait_ms / 1000)
+        if isinstance(self.clock, SteadyClock):
+            await self.clock.sleep(wait_ms)
             return
         self.clock.advance(wait_ms)
         for _ in range(LOOP_TURNS):
