Let a cancelled watch of discovery end although its call times out at the same time

An operator would see a gateway that does not end after SIGTERM, or that goes on asking the old service after a reload.

Cause: aiohttp enters the TimerContext of a call's total timeout twice. If the timeout and a cancellation come in one turn of the event loop, its two exits take both back, and the watch sees TimeoutError alone.

Change: the time of a call to discovery is limited by asyncio.timeout; no session has a total of aiohttp any more.

--- a/shaletiller/net/discovery.py
+++ b/shaletiller/net/discovery.py
@@ -42,8 +42,10 @@
 # cost little, and a gateway with a longer backoff could send requests to a draining node.
 PUSHED_BACKOFF_RATIO = 0.125
 MAX_LIST_BYTES = 4 * 1024 * 1024
-WATCH_TIMEOUT = aiohttp.ClientTimeout(total=(WATCH_WAIT_MS + WATCH_GRACE_MS) / 1000, sock_connect=1.0)
-FULL_LIST_TIMEOUT = aiohttp.ClientTimeout(total=WATCH_WAIT_MS / 1000)  # the agent does not wait
+WATCH_TIMEOUT_MS = WATCH_WAIT_MS + WATCH_GRACE_MS
+FULL_LIST_TIMEOUT_MS = WATCH_WAIT_MS  # the agent does not wait
+# Without a total: aiohttp's loses the cancellation of a task in which it expires at the same time.
+SESSION_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
 ENDPOINT_STATES = {
     "active": EndpointState.READY,
     "leaving": EndpointState.DRAINING,
@@ -239,15 +241,15 @@
                 self.rows[row.id] = row
 
     @staticmethod
-    def _create_session(timeout: aiohttp.ClientTimeout) -> aiohttp.ClientSession:
+    def _create_session() -> aiohttp.ClientSession:
         # Without `never_resend`, aiohttp would silently resend a call whose connection failed: the watch
         # would appear uninterrupted, and a drain would count as announced later than it was.
-        return aiohttp.ClientSession(timeout=timeout, middlewares=(never_resend,), trust_env=False)
+        return aiohttp.ClientSession(timeout=SESSION_TIMEOUT, middlewares=(never_resend,), trust_env=False)
 
     async def fetch(self) -> None:
         """Request the full list once, on behalf of the scheduler; the watch continues concurrently."""
         try:
-            async with self._create_session(FULL_LIST_TIMEOUT) as session:
+            async with self._create_session() as session:
                 await self._request_list(session)
         except Exception:
             # Catches every type: whatever the agent sends, the scheduler must be notified of the failure.
@@ -257,7 +259,7 @@
     async def run(self) -> None:
         """Watch the list until cancelled; a failed call is retried after a backoff."""
         failures = 0
-        async with self._create_session(WATCH_TIMEOUT) as session:
+        async with self._create_session() as session:
             while True:
                 started_ms = self._now_ms()
                 try:
@@ -290,11 +292,12 @@
         :param watch: whether the call belongs to the watch.
         :raises DiscoveryOverloadedError: the call was rejected.
         :raises EndpointListError: the list is malformed.
+        :raises TimeoutError: the agent has not responded in time.
         """
         url, full = self._url, since is None
         params = {} if full else {"since": str(since), "timeout_ms": str(WATCH_WAIT_MS)}
-        timeout = FULL_LIST_TIMEOUT if full else WATCH_TIMEOUT
-        async with session.get(url, params=params, timeout=timeout) as response:
+        timeout_ms = FULL_LIST_TIMEOUT_MS if full else WATCH_TIMEOUT_MS
+        async with asyncio.timeout(timeout_ms / 1000), session.get(url, params=params) as response:
             raw = await read_bounded(response.content, MAX_LIST_BYTES)
             if response.status != 200 or raw is None:
                 raise DiscoveryOverloadedError(f"status {response.status}, or too long")
--- a/shaletiller/net/http_upstream.py
+++ b/shaletiller/net/http_upstream.py
@@ -20,7 +20,7 @@
 from shaletiller.messages.outcomes import Outcome
 from shaletiller.net.body import MAX_BODY_BYTES, read_bounded
 from shaletiller.net.errors import ConnectionBrokenError
-from shaletiller.net.pool import UpstreamConnector, UpstreamProtocol
+from shaletiller.net.pool import NO_TIMEOUT, UpstreamConnector, UpstreamProtocol
 from shaletiller.settings.model import Settings
 
 logger = logging.getLogger(__name__)
@@ -121,6 +121,7 @@
                 connector=UpstreamConnector(
                     self._max_connections, self.max_per_node, self._idle_timeout_s, self._clock
                 ),
+                timeout=NO_TIMEOUT,  # each call has its own, measured by the gateway's clock
                 middlewares=(never_resend,),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/net/test_endings_nodes.py
+++ b/tests/net/test_endings_nodes.py
@@ -517,7 +517,7 @@
                 events.clear()
                 answered_ms = self.gateway._clock.now_ms()
                 await asyncio.sleep(0.1)
-                with PATCH("shaletiller.net.discovery.WATCH_TIMEOUT", aiohttp.ClientTimeout(total=0.3)):
+                with PATCH("shaletiller.net.discovery.WATCH_TIMEOUT_MS", 300.0):
                     if how == "reset":
                         agent.current.transport.abort()
                     elif how == "end":
--- a/tests/net/test_scenarios_http.py
+++ b/tests/net/test_scenarios_http.py
@@ -9,8 +9,6 @@
 import unittest.mock
 from typing import Any, ClassVar
 
-import aiohttp
-
 from shaletiller.messages.actions import FetchEndpointList
 from shaletiller.messages.events import AttemptEnded
 from shaletiller.net.connection_state import ConnectionState
@@ -885,15 +883,30 @@
 
         The watch call must be retried, and requests must be served with the current list.
         """
-        short = aiohttp.ClientTimeout(total=0.1)
         agent = await self.party("d")
         await agent.next()
-        with unittest.mock.patch("shaletiller.net.discovery.WATCH_TIMEOUT", short):
+        with unittest.mock.patch("shaletiller.net.discovery.WATCH_TIMEOUT_MS", 100.0):
             self.gateway.engine.spawn(self.gateway.discovery.run())
             self.assertIn("since=1", (await agent.next())[0])
             self.assertIn("since=1", (await agent.next())[0])
         await self.play("send c1 GET 1\nexpect n1 GET 1\nsend n1 200\nexpect c1 200")
 
+    # Guards against a gateway that does not end, because its watch call has timed out at the same time.
+    async def test_a_watch_call_that_times_out_while_it_is_cancelled_ends(self) -> None:
+        """The timeout of a watch call and the cancellation of the watch are due in one turn of the loop.
+
+        The watch must end.
+        """
+        agent = await self.party("d")
+        await agent.next()
+        with unittest.mock.patch("shaletiller.net.discovery.WATCH_TIMEOUT_MS", 100.0):
+            watch = asyncio.ensure_future(self.gateway.discovery.run())
+            await agent.next()
+            time.sleep(0.2)
+            asyncio.get_running_loop().call_soon(watch.cancel)
+            await asyncio.wait({watch}, timeout=TIMEOUT_S)
+        self.assertTrue(watch.cancelled())
+
     async def test_an_overloaded_discovery_is_polled_with_backoff(self) -> None:
         """Discovery rejects each call with a 503.
 
@@ -926,7 +939,7 @@
     async def asyncSetUp(self) -> None:
         # With these values, only a reload changes the watch: a call or a backoff would outlast the test.
         for name, value in (
-            ("WATCH_TIMEOUT", aiohttp.ClientTimeout(total=60.0)),
+            ("WATCH_TIMEOUT_MS", 60_000.0),
             ("FullJitterBackoff.delay_ms", lambda *_: 60_000.0),
         ):
             self.enterContext(unittest.mock.patch(f"shaletiller.net.discovery.{name}", value))
