Take an idle connection of the pool without a timer

UpstreamConnector.connect started a timer also when an idle connection was at hand, which aiohttp avoids.

--- a/shaletiller/net/pool.py
+++ b/shaletiller/net/pool.py
@@ -140,6 +140,9 @@
         """
         if timeout.connect is None:
             return await super().connect(req, traces, timeout)
+        idle: Connection | None = await self._get(req.connection_key, traces)
+        if idle is not None:
+            return idle
         async with self._clock.timeout(timeout.connect * 1000):
             return await super().connect(req, traces, NO_TIMEOUT)
 
