Write the hold-up of a connect and the lists of a drain once in the tests

The two tests of the connect timeout held the event loop up with the same lines: hold_up_a_connect stands beside wait_until. The test of drains filtered its events twice. The steps of the scenarios' clock have names that say so. Assertions are as they were.

--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -11,6 +11,7 @@
 import os
 import socket
 import struct
+import time
 import unittest.mock
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -90,6 +91,12 @@
         raise AssertionError(f"timed out waiting for {description}") from None
 
 
+async def hold_up_a_connect(scenario: Scenario) -> None:
+    """Wait for an attempt, and hold the event loop up for longer than its connect timeout."""
+    await wait_until(lambda: scenario.gateway.engine.attempts.in_flight, "an attempt")
+    time.sleep(1.2 * scenario.gateway.config.settings.connect_timeout_ms / 1000)
+
+
 class RawClient:
     """Client with a plain socket: when `send` returns, the data is in the kernel of the gateway."""
 
--- a/tests/net/test_endings_nodes.py
+++ b/tests/net/test_endings_nodes.py
@@ -546,12 +546,12 @@
             await self.send_full(agent, version, n1="active", n2="active")
         agent.current = (await agent.next())[3]
         await self.send_full(agent, 7, n1="leaving", n2="active")
-        await wait_until(
-            lambda: len([event for event in events if isinstance(event, EndpointListUpdate)]) == 3,
-            "the lists",
-        )
-        lists = [event for event in events if isinstance(event, EndpointListUpdate)]
-        self.assertEqual(lists[-1].staleness_ms, 0.0)
+
+        def lists() -> list[EndpointListUpdate]:
+            return [event for event in events if isinstance(event, EndpointListUpdate)]
+
+        await wait_until(lambda: len(lists()) == 3, "the lists")
+        self.assertEqual(lists()[-1].staleness_ms, 0.0)
 
     async def test_after_the_grace_a_node_gets_no_requests_and_those_in_progress_are_answered(self) -> None:
         """A node drains, and its grace period ends while it has a request in progress.
--- a/tests/net/test_scenarios_http.py
+++ b/tests/net/test_scenarios_http.py
@@ -17,7 +17,7 @@
 from shaletiller.net.http_upstream import HttpUpstreamClient
 from shaletiller.net.overload_control import AcceptedSocket
 from shaletiller.net.pool import UpstreamConnector
-from tests.net.test_endings import count_connections_to, wait_until
+from tests.net.test_endings import count_connections_to, hold_up_a_connect, wait_until
 from tests.support.scenario import (
     SETTINGS,
     TIMEOUT_S,
@@ -643,8 +643,7 @@
         No time has passed on the gateway's clock: the request is served by its first attempt.
         """
         await self.play("send c1 PUT 1 a")
-        await wait_until(lambda: self.gateway.engine.attempts.in_flight, "the first attempt")
-        time.sleep(1.2 * self.gateway.config.settings.connect_timeout_ms / 1000)
+        await hold_up_a_connect(self)
         await self.play("expect n1 PUT 1 a\nsend n1 200 b\nexpect c1 200 b")
 
     @on_settable_clock
--- a/tests/nvme/test_scenarios_nvme.py
+++ b/tests/nvme/test_scenarios_nvme.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import struct
-import time
 import unittest.mock
 from collections import Counter
 from typing import Any
@@ -17,7 +16,7 @@
 from shaletiller.net.nvme.errors import FatalErrorStatus, PduError
 from shaletiller.net.nvme.status import Status
 from shaletiller.net.nvme.upstream import IDLE_TIMEOUT_RATIO
-from tests.net.test_endings import wait_until
+from tests.net.test_endings import hold_up_a_connect, wait_until
 from tests.support.scenario import NvmeNode, Scenario, Server, key, on_settable_clock, read_message
 
 IC_REQ = pdu.ic_req().hex()
@@ -377,8 +376,7 @@
         No time has passed on the gateway's clock: the write is served by its first attempt.
         """
         await self.play("send c1 PUT 5 a")
-        await wait_until(lambda: self.gateway.engine.attempts.in_flight, "the first attempt")
-        time.sleep(1.2 * self.gateway.config.settings.connect_timeout_ms / 1000)
+        await hold_up_a_connect(self)
         await self.play("expect b1 write 5 a\nsend b1 ok\nexpect c1 200")
 
     async def test_a_write_whose_connection_fails_after_its_capsule_is_never_retried(self) -> None:
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -48,8 +48,8 @@
 
 TIMEOUT_S = 3.0
 START_MS = 1.8e12  # the initial time of a settable clock
-STEP_S = 0.001
-MAX_STEP_MS = 5.0
+CLOCK_STEP_S = 0.001
+MAX_CLOCK_STEP_MS = 5.0
 # Iterations of the event loop after a settable clock is advanced, in which the waiting coroutines run.
 LOOP_TURNS = 10
 VOLUME = "00000003b4d60021"
@@ -92,9 +92,9 @@
     """
     last_s = time.monotonic()
     while True:
-        await asyncio.sleep(STEP_S)
+        await asyncio.sleep(CLOCK_STEP_S)
         now_s = time.monotonic()
-        clock.advance(min(1000 * (now_s - last_s), MAX_STEP_MS))
+        clock.advance(min(1000 * (now_s - last_s), MAX_CLOCK_STEP_MS))
         last_s = now_s
 
 
