--- a/shaletiller/lab/scripted_node.py
+++ b/shaletiller/lab/scripted_node.py
@@ -15,6 +15,7 @@
 BLOCK = bytes(range(251))
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
 END_OF_HEAD = b"\r\n\r\n"
+SILENCE_S = 3600.0
 
 
 def encode_head(
@@ -60,7 +61,8 @@
 
     `size`: bytes of the answer; `pieces` and `over_ms`: written in so many pieces over this time; `form`:
     `length`, `chunked` or `close`; `work_ms`: time before the answer; `stop`: bytes after which it resets the
-    connection; `pause_ms`: time for which it stops in the middle of its answer.
+    connection; `pause_ms`: time for which it stops in the middle of its answer; `first_ms`: time between its
+    head and its first byte; `silent`: bytes after which it stays silent for good.
     """
 
     def __init__(self) -> None:
@@ -99,8 +101,11 @@
         stop = int(options.get("stop", size))
         heads = {"length": f"Content-Length: {size}\r\n", "chunked": "Transfer-Encoding: chunked\r\n"}
         writer.write(f"HTTP/1.1 200 OK\r\n{heads.get(form, '')}\r\n".encode())
+        await asyncio.sleep(int(options.get("first_ms", 0)) / 1000)
         sent, step = 0, -(-size // pieces)
         while sent < min(size, stop):
+            if sent >= int(options.get("silent", size)):
+                await asyncio.sleep(SILENCE_S)
             data = answer_bytes(sent, min(step, size - sent, stop - sent))
             writer.write(b"%x\r\n%s\r\n" % (len(data), data) if form == "chunked" else data)
             try:
