Pass on each begun answer once no retry can help, and never drop one by a timer

Cause: an answer is held back so that it can still be tried again, and nothing asked whether that can help. At the end of the time the attempt's timer, or that of a short body, dropped the answer itself.

Change: policy/response_hold.py decides, by the retries, the budget, the objective and the deadline (less a hold-up of 0.15 s), until when an answer is held, for all framings; core/response_progress.py carries it to the reader of the body. The timer of an attempt, the deadline guard and the cancellation of an overdue attempt pass a begun answer on instead of ending it. After a hold-up of the process, what has come is read before an attempt ends. A begun answer is not overdue and holds no slot, and its latency is that of its head. Where second attempts may run beside the first, one is sent when a held answer stalls; an answer that cannot be passed on (NVMe clients) is given up then if a retry can help. Each answer that is held, passed on or given up is logged with its id and counted in STATS (responses.*).

--- a/shaletiller/adapter.py
+++ b/shaletiller/adapter.py
@@ -40,6 +40,7 @@
 from shaletiller.messages.timers import (
     AttemptOverdueTimer,
     OrderingTimer,
+    ResponseHoldTimer,
     RoundTimer,
     Timer,
     WatchRetryTimer,
@@ -137,6 +138,8 @@
             return f"turn {object_key}"
         case AttemptOverdueTimer(request=request, attempt=attempt):
             return f"overdue {request} {attempt}"
+        case ResponseHoldTimer(request=request, attempt=attempt):
+            return f"hold {request} {attempt}"
         case WatchRetryTimer():
             return "ask"
 
@@ -151,6 +154,9 @@
     if name == "overdue":
         request, attempt = rest.rsplit(" ", 1)  # a request id may contain spaces
         return AttemptOverdueTimer(request, int(attempt))
+    if name == "hold":
+        request, attempt = rest.rsplit(" ", 1)
+        return ResponseHoldTimer(request, int(attempt))
     return WatchRetryTimer() if name == "ask" else None
 
 
--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -22,7 +22,14 @@
 from shaletiller.core.executed_ids import ExecutedIds, hash_id
 from shaletiller.core.forward import AttemptSender
 from shaletiller.core.interfaces import EngineServices, NoServices
-from shaletiller.core.metrics import SCHEDULER_FAILURES, Counters, GuardReason
+from shaletiller.core.metrics import (
+    RESPONSES_ABANDONED,
+    RESPONSES_HELD,
+    RESPONSES_PASSED_ON,
+    SCHEDULER_FAILURES,
+    Counters,
+    GuardReason,
+)
 from shaletiller.core.model import (
     Attempt,
     AttemptResult,
@@ -35,12 +42,14 @@
 from shaletiller.core.respond import Responder
 from shaletiller.core.route import Endpoint, RouteTable
 from shaletiller.messages.actions import (
+    AbandonResponse,
     Action,
     CancelAttempt,
     CloseIdleConnections,
     Fail,
     FetchEndpointList,
     GiveUpReason,
+    PassOnResponse,
     Reject,
     SendAttempt,
     SendHealthCheck,
@@ -57,6 +66,8 @@
     Event,
     HealthCheckEnded,
     Request,
+    ResponseHeld,
+    ResponseStalled,
     TimerExpired,
 )
 from shaletiller.messages.outcomes import Outcome
@@ -112,7 +123,7 @@
             self._services.may_begin_stream,
             self._services.on_attempt_ended,
         )
-        self.attempts = AttemptSender(clock, self._record)
+        self.attempts = AttemptSender(clock, self._record, self._on_response_held, self._on_response_stalled)
         self._accept = RequestAcceptor(
             settings, clock, self.exchanges, self.attempts.in_flight, self.executed
         )
@@ -121,6 +132,8 @@
             Reject: self._reject,
             Fail: self._fail,
             CancelAttempt: self._cancel_attempt,
+            PassOnResponse: self._pass_on_response,
+            AbandonResponse: self._abandon_response,
             StartTimer: self._start_timer,
             SendHealthCheck: self._send_health_check,
             SendPeerMessage: self._send_peer_message,
@@ -329,7 +342,15 @@
             self._end_without_decision(exchange, GuardReason.SHUTDOWN, "the process ends")
 
     def _on_deadline_passed(self, exchange: Exchange) -> None:
-        """Respond to a request whose deadline has passed without a response."""
+        """Respond to a request whose deadline has passed without a response.
+
+        A response that is just being passed on is waited for; it ends its attempt, whatever becomes of it.
+        """
+        if any(attempt.is_being_passed_on for attempt in exchange.attempts):
+            exchange.deadline_timer = self._clock.call_later(
+                DEADLINE_GUARD_MS, self._on_deadline_passed, exchange
+            )
+            return
         self._end_without_decision(exchange, GuardReason.DEADLINE_GUARD, "its deadline has passed")
 
     def _end_without_decision(self, exchange: Exchange, reason: GuardReason, explanation: str) -> None:
@@ -398,9 +419,39 @@
     def _cancel_attempt(self, action: CancelAttempt) -> None:
         # The attempt is looked up among those in flight, because its exchange may have ended before.
         attempt = self.attempts.in_flight.get((action.request, action.attempt))
-        if attempt is not None:
+        if attempt is not None and not attempt.has_begun_response:
             self.attempts.stop(attempt, Outcome.CANCELLED)
 
+    def _on_response_held(self, exchange: Exchange, attempt: Attempt, can_pass_on: bool) -> None:
+        self.counters.increment(RESPONSES_HELD)
+        logger.info(
+            "request %s: attempt %d: response of node %s held, its body is not whole",
+            exchange.call.id,
+            attempt.number,
+            attempt.node,
+        )
+        is_replicated = exchange.on_result is not None
+        self.notify(ResponseHeld(exchange.call.id, attempt.number, can_pass_on and not is_replicated))
+
+    def _on_response_stalled(self, exchange: Exchange, attempt: Attempt) -> None:
+        self.notify(ResponseStalled(exchange.call.id, attempt.number))
+
+    def _pass_on_response(self, action: PassOnResponse) -> None:
+        """Pass a held response on, unless it may not begin: it may become whole until its deadline."""
+        attempt = self.attempts.in_flight.get((action.request, action.attempt))
+        if attempt is None or attempt.progress is None:
+            return
+        if self._services.may_begin_stream() and attempt.progress.pass_on():
+            self.counters.increment(f"{RESPONSES_PASSED_ON}.{action.reason}")
+            logger.info("request %s: held response passed on: %s", action.request, action.reason)
+
+    def _abandon_response(self, action: AbandonResponse) -> None:
+        attempt = self.attempts.in_flight.get((action.request, action.attempt))
+        if attempt is not None and attempt.progress is not None:
+            logger.info("request %s: held response given up for a retry, it does not go on", action.request)
+            self.counters.increment(RESPONSES_ABANDONED)
+            attempt.progress.abandon()
+
     def _start_timer(self, action: StartTimer) -> None:
         self._clock.call_later(action.wait_ms, self.notify, TimerExpired(action.timer))
 
--- a/shaletiller/core/interfaces.py
+++ b/shaletiller/core/interfaces.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from shaletiller.core.model import AttemptResult, ClientCall, Exchange, FinalResponse
+from shaletiller.core.response_progress import ResponseProgress
 from shaletiller.messages.events import Event
 from shaletiller.settings.model import Settings
 
@@ -33,13 +34,19 @@
     """
 
     async def attempt(
-        self, address: str, call: ClientCall, timeout_ms: float, start_within_ms: float = inf
+        self,
+        address: str,
+        call: ClientCall,
+        timeout_ms: float,
+        start_within_ms: float = inf,
+        progress: ResponseProgress | None = None,
     ) -> AttemptResult:
         """Send one request and wait for its response.
 
         :param timeout_ms: the timeout to forward to the storage node; the caller cancels the attempt when it
             expires.
         :param start_within_ms: how long the attempt may wait to be written; it is not sent after that.
+        :param progress: told of a response that has begun and is not whole; tells when to pass it on.
         """
 
     def apply_settings(self, settings: Settings) -> None:
--- a/shaletiller/core/metrics.py
+++ b/shaletiller/core/metrics.py
@@ -16,6 +16,10 @@
 RESULTS_PREFIX = "results."
 REASONS_PREFIX = "reasons."
 SCHEDULER_FAILURES = "scheduler_failures"
+RESPONSES_PREFIX = "responses."
+RESPONSES_HELD = f"{RESPONSES_PREFIX}held"
+RESPONSES_PASSED_ON = f"{RESPONSES_PREFIX}passed_on"
+RESPONSES_ABANDONED = f"{RESPONSES_PREFIX}abandoned"
 
 
 class GuardReason(StrEnum):
@@ -33,6 +37,9 @@
     """Another process of the gateway has had its id, or did not say in time whether it has."""
     IDS_FULL = "ids_full"
     """So many requests have run lately that its id could not be remembered."""
+    RESPONSE_NOT_BEGUN = "response_not_begun"
+    """Its response cannot be passed on before it is whole: memory is spent, the process ends, or its outcome
+    has to be replicated."""
     SCHEDULER_FAILED = "scheduler_failed"
     """The scheduler raised an exception while handling its arrival."""
 
@@ -54,7 +61,7 @@
 
 
 def stats_lines(counters: Counters, classes: list[str], gauges: dict[str, int]) -> list[str]:
-    """Return the lines `edge.NAME=VALUE` of STATS; reasons and scheduler failures are listed if not 0.
+    """Return the lines `edge.NAME=VALUE` of STATS; other counters are listed if not 0.
 
     :param classes: the request classes in force; other classes that have counts are listed after them.
     """
@@ -66,6 +73,8 @@
             lines.append(f"edge.{name}={counters.get(name, 0)}")
     lines += [f"edge.{name}={value}" for name, value in gauges.items()]
     optional_names = sorted(
-        name for name in counters if name.startswith(REASONS_PREFIX) or name == SCHEDULER_FAILURES
+        name
+        for name in counters
+        if name.startswith((REASONS_PREFIX, RESPONSES_PREFIX)) or name == SCHEDULER_FAILURES
     )
     return lines + [f"edge.{name}={counters[name]}" for name in optional_names]
--- a/shaletiller/core/model.py
+++ b/shaletiller/core/model.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from shaletiller.clock import Timer
+from shaletiller.core.response_progress import ResponseProgress, ResponseState
 from shaletiller.messages.outcomes import Outcome
 
 
@@ -111,10 +112,25 @@
     node: str
     sent_ms: float
     task: asyncio.Task[AttemptResult] | None = None
+    progress: ResponseProgress | None = None
+    is_expiring: bool = False  # its time is over, and its response may lie unread after a hold-up
     stop_reason: Outcome | None = None  # set if the gateway stopped the attempt
     outcome: Outcome | None = None
     ended_ms: float | None = None
 
+    @property
+    def has_begun_response(self) -> bool:
+        """Whether it has no outcome yet, and its response can be passed on."""
+        return self.outcome is None and self.progress is not None and self.progress.has_begun
+
+    @property
+    def is_being_passed_on(self) -> bool:
+        """Whether its time is over, and it ends with its response, or without one, within a moment."""
+        if self.outcome is not None:
+            return False
+        is_passed_on = self.progress is not None and self.progress.state is ResponseState.PASSED_ON
+        return is_passed_on or self.is_expiring
+
 
 @dataclass(slots=True)
 class Exchange:
--- a/shaletiller/messages/actions.py
+++ b/shaletiller/messages/actions.py
@@ -77,6 +77,30 @@
     attempt: int
 
 
+class PassOnReason(StrEnum):
+    """Why a held response is passed on; the values are part of the operators' STATS."""
+
+    NO_RETRY_POSSIBLE = "no_retry_possible"
+    """No other attempt of the request can be answered any more."""
+    HOLD_ENDED = "hold_ended"
+    """The time is over within which another attempt would have helped."""
+
+
+class PassOnResponse(Message, frozen=True):
+    """Pass a held response on to its client, as far as it has come and as it comes from now on."""
+
+    request: str
+    attempt: int
+    reason: PassOnReason
+
+
+class AbandonResponse(Message, frozen=True):
+    """Give a held response up, so that its request can be retried."""
+
+    request: str
+    attempt: int
+
+
 class StartTimer(Message, frozen=True):
     """Start a timer, which is returned in a TimerExpired event after `wait_ms`."""
 
@@ -124,6 +148,8 @@
     | Reject
     | Fail
     | CancelAttempt
+    | PassOnResponse
+    | AbandonResponse
     | StartTimer
     | SendHealthCheck
     | SendPeerMessage
--- a/shaletiller/messages/events.py
+++ b/shaletiller/messages/events.py
@@ -84,6 +84,27 @@
     latency_ms: float
 
 
+class ResponseHeld(Message, frozen=True):
+    """The head of a successful response has come, and its body is not whole yet.
+
+    The response is held until the action PassOnResponse or AbandonResponse, or until its body is whole.  Not
+    sent by the simulator.
+
+    :param can_pass_on: whether it can be passed on to the client before it is whole.
+    """
+
+    request: str
+    attempt: int
+    can_pass_on: bool
+
+
+class ResponseStalled(Message, frozen=True):
+    """The body of a held response has not gone on for some time; sent at most once for each attempt."""
+
+    request: str
+    attempt: int
+
+
 class ClientDisconnected(Message, frozen=True):
     """The client has disconnected; its request needs no answer."""
 
@@ -138,6 +159,8 @@
     | Request
     | AttemptEnded
     | ResponseStarted
+    | ResponseHeld
+    | ResponseStalled
     | ClientDisconnected
     | HealthCheckEnded
     | PeerMessageReceived
--- a/shaletiller/messages/timers.py
+++ b/shaletiller/messages/timers.py
@@ -25,8 +25,15 @@
     attempt: int
 
 
+class ResponseHoldTimer(Message, frozen=True):
+    """The time is over for which a response was to be held."""
+
+    request: str
+    attempt: int
+
+
 class WatchRetryTimer(Message, frozen=True):
     """The watch on the endpoint list has failed and is due to be retried."""
 
 
-Timer = RoundTimer | OrderingTimer | AttemptOverdueTimer | WatchRetryTimer
+Timer = RoundTimer | OrderingTimer | AttemptOverdueTimer | ResponseHoldTimer | WatchRetryTimer
--- a/shaletiller/net/http_upstream.py
+++ b/shaletiller/net/http_upstream.py
@@ -18,6 +18,7 @@
 from shaletiller.clock import Clock
 from shaletiller.core.memory_account import MemoryAccount
 from shaletiller.core.model import AttemptResult, ClientCall
+from shaletiller.core.response_progress import ResponseProgress
 from shaletiller.messages.outcomes import Outcome
 from shaletiller.net.body import MAX_BODY_BYTES
 from shaletiller.net.errors import ConnectionBrokenError
@@ -174,11 +175,13 @@
         call: ClientCall,
         timeout_ms: float,
         start_within_ms: float = math.inf,
+        progress: ResponseProgress | None = None,
     ) -> AttemptResult:
         """Send a call to a node once.
 
         :param timeout_ms: sent to the node; the engine cancels the attempt after this time.
         :param start_within_ms: time limit for connecting; after it, nothing is sent.
+        :param progress: told of a response whose body is awaited.
         """
         headers = {"Request-Id": call.id, "Request-Timeout-Ms": str(max(1, round(timeout_ms)))}
         if call.idempotency_key:
@@ -190,8 +193,8 @@
         if len(call.body) <= MAX_SINGLE_WRITE_BYTES:
             protocol = connector.acquire_idle(address)
             if protocol is not None:
-                return await self._attempt_on_idle(connector, protocol, address, call, headers)
-        return await self._attempt_by_session(address, call, headers, start_within_ms)
+                return await self._attempt_on_idle(connector, protocol, address, call, headers, progress)
+        return await self._attempt_by_session(address, call, headers, start_within_ms, progress)
 
     async def _attempt_on_idle(
         self,
@@ -200,6 +203,7 @@
         address: str,
         call: ClientCall,
         headers: dict[str, str],
+        progress: ResponseProgress | None,
     ) -> AttemptResult:
         """Write a request to an idle connection in one piece (fast path).
 
@@ -219,7 +223,7 @@
                 message, payload = await protocol.read()
                 if not 100 <= message.code <= 199 or message.code == 101:
                     break
-            return await self._read_response(exchange, call, message.code, message.headers, payload)
+            return await self._read_response(exchange, call, message.code, message.headers, payload, progress)
         except Exception:
             # Catches every type: a corrupt response may cause undocumented exceptions in the parser, and the
             # outcome is the same for each.
@@ -239,6 +243,7 @@
         call: ClientCall,
         headers: dict[str, str],
         start_within_ms: float,
+        progress: ResponseProgress | None,
     ) -> AttemptResult:
         """Send a request on a new connection, or with a large body (slow path).
 
@@ -249,9 +254,9 @@
         # The engine enforces the deadline; only connecting has a separate timeout.
         connect_ms = min(self._settings.connect_timeout_ms, max(1.0, start_within_ms))
         timeout = aiohttp.ClientTimeout(total=None, sock_read=None, connect=connect_ms / 1000)
-        progress = UploadProgress()
+        upload = UploadProgress()
         is_large = len(call.body) > MAX_SINGLE_WRITE_BYTES
-        data = split_last_byte(call.body, progress) if is_large else call.body or None
+        data = split_last_byte(call.body, upload) if is_large else call.body or None
         url = URL(f"http://{address}{call.target}", encoded=True)
         tracker = aiohttp.UploadTracker()
         try:
@@ -264,13 +269,13 @@
                 upload_tracker=tracker,
                 timeout=timeout,
             )
-            return await self._read_session_response(address, call, response)
+            return await self._read_session_response(address, call, response, progress)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return AttemptResult(Outcome.CONNECT_FAILED)
         except Exception:
             # Catches every type: a corrupt response may cause undocumented exceptions in aiohttp, and the
             # outcome depends only on whether the last byte was written.
-            may_have_run = progress.last_byte_written or is_upload_complete(tracker)
+            may_have_run = upload.last_byte_written or is_upload_complete(tracker)
             logger.warning(
                 "node %s: request %s failed %s",
                 address,
@@ -285,7 +290,7 @@
             is_upload_complete(tracker)  # retrieves an exception that asyncio would log as never retrieved
 
     async def _read_session_response(
-        self, address: str, call: ClientCall, response: ClientResponse
+        self, address: str, call: ClientCall, response: ClientResponse, progress: ResponseProgress | None
     ) -> AttemptResult:
         """Read a response of the session; its connection is closed if the response is not clean."""
         if response.status == 101:
@@ -297,7 +302,7 @@
         )
         try:
             return await self._read_response(
-                exchange, call, response.status, response.headers, response.content
+                exchange, call, response.status, response.headers, response.content, progress
             )
         finally:
             exchange.end()
@@ -309,6 +314,7 @@
         status: int,
         headers: Mapping[str, str],
         content: aiohttp.StreamReader,
+        progress: ResponseProgress | None,
     ) -> AttemptResult:
         """Read the body of a response as far as the decision needs, and make the result of the attempt."""
         if content.is_eof() and has_length(headers) and content.total_bytes <= MAX_BODY_BYTES:
@@ -316,13 +322,18 @@
             exchange.reusable = status != 101
             latency_ms = self._node_latency_ms(exchange.protocol)
             return self._make_result(status, headers, content.read_nowait(), latency_ms)
-        may_stream = call.accepts_stream and status == 200
-        reader = BodyReader(headers, content, self._clock, self._memory, may_stream)
+        is_success = status == 200
+        may_stream = call.accepts_stream and is_success
+        reader = BodyReader(
+            headers, content, self._clock, self._memory, may_stream, progress if is_success else None
+        )
+        head_latency_ms = self._node_latency_ms(exchange.protocol)
         try:
             start = await reader.read()
         finally:
             reader.release()
-        latency_ms = self._node_latency_ms(exchange.protocol)
+        # A body that is written slowly says nothing about the load of its node.
+        latency_ms = head_latency_ms if reader.was_held else self._node_latency_ms(exchange.protocol)
         result = self._make_result(status, headers, start.data if start is not None else None, latency_ms)
         if start is None or reader.framing is None:
             return result
@@ -392,7 +403,7 @@
             url = URL(f"http://{address}{path}", encoded=True)
             connect_timeout_ms = self._settings.connect_timeout_ms
             async with self._clock.timeout(connect_timeout_ms), self._session().get(url) as response:
-                body = await read_report(response.headers, response.content, self._clock)
+                body = await read_report(response.headers, response.content, self._clock, connect_timeout_ms)
                 if body is None:
                     response.close()
                 text = (body or b"").decode(errors="replace")
--- a/shaletiller/net/nvme/upstream.py
+++ b/shaletiller/net/nvme/upstream.py
@@ -13,6 +13,7 @@
 from shaletiller.clock import Clock
 from shaletiller.config import NvmeUpstreamConfig, read_address
 from shaletiller.core.model import AttemptResult, ClientCall
+from shaletiller.core.response_progress import ResponseProgress
 from shaletiller.messages.outcomes import Outcome
 from shaletiller.net.nvme.association import Association
 from shaletiller.net.nvme.commands import IoOpcode, encode_io_command
@@ -62,12 +63,14 @@
         call: ClientCall,
         timeout_ms: float,
         start_within_ms: float = math.inf,
+        progress: ResponseProgress | None = None,
     ) -> AttemptResult:
         """Send a request as a Read or Write of one block.
 
         :param timeout_ms: not used, because the protocol has no command deadline; the caller cancels the
             attempt.
         :param start_within_ms: the maximum wait for an association, including the time to open a new one.
+        :param progress: not used, because a block is of no use before it is whole.
         """
         block = int(call.key, 16) - self._config.first_key
         if block < 0 or len(call.body) > self._config.block_bytes:
--- a/shaletiller/net/upstream_body.py
+++ b/shaletiller/net/upstream_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
@@ -11,19 +12,16 @@
 from shaletiller.clock import Clock
 from shaletiller.core.errors import ResponseBrokenError
 from shaletiller.core.memory_account import MIN_PIECE_BYTES, MemoryAccount, MemoryOwner
+from shaletiller.core.response_progress import ResponseProgress, ResponseState
 from shaletiller.net.body import MAX_BODY_BYTES
 from shaletiller.net.pool import UpstreamProtocol
+from shaletiller.policy import response_hold
 
 MAX_STREAM_BYTES = 32 * 1024 * 1024  # a longer response is malformed
 # Responses of more bytes are passed on as they come while memory is tight.
 MAX_BODY_BYTES_TIGHT = 8 * 1024
-# Time without any byte after which the rest of a response of known, short length is given up.  Nodes write
-# such a response at once: one that stops midway will not continue, and the attempt can be retried.  The value
-# must exceed a retransmission on the site's network; a larger value leaves less time for the retry.
-BODY_TIMEOUT_MS = 100.0
-# Time after the first bytes of a response of unknown length.  With the next bytes it is passed on as it
-# comes; until then it can be retried if it breaks off or stops.
-UNKNOWN_LENGTH_WAIT_MS = 20.0
+# Time for the body of a response whose outcome is known from its head.
+UNUSED_BODY_TIMEOUT_MS = 100.0
 RESPONSE_COPIES = 2  # of a body that is read whole: its pieces, and the body that is made of them
 NODE_SILENCE_TIMEOUT_MS = 10_000.0  # a node that sends nothing for so long has broken its response off
 # Approximate memory of a response that is passed on, without its bytes.
@@ -138,7 +136,13 @@
 
 
 class BodyReader:
-    """Reads the body of one response as far as the decision on it needs."""
+    """Reads the body of one response as far as the decision on it needs.
+
+    :param progress: of a successful response, told that its body is awaited; None for a response whose
+        outcome does not depend on its body.
+    :param may_stream: whether the response can be passed on before it is whole.
+    :param unused_timeout_ms: time for the body if there is no progress.
+    """
 
     def __init__(
         self,
@@ -147,15 +151,21 @@
         clock: Clock,
         memory: MemoryAccount,
         may_stream: bool,
+        progress: ResponseProgress | None = None,
+        unused_timeout_ms: float = UNUSED_BODY_TIMEOUT_MS,
     ) -> None:
         self.framing = parse_framing(headers)
         self._content = content
         self._clock = clock
         self._memory = memory
         self._may_stream = may_stream
+        self._progress = progress
+        self._unused_timeout_ms = unused_timeout_ms
         self._chunks: list[bytes] = []
         self._size = 0
         self._charged = 0
+        self._last_bytes_ms = 0.0
+        self.was_held = False  # whether the body was not whole some time after the head
 
     def release(self) -> None:
         """Release the memory that is charged for the body; called once it was handed on or given up."""
@@ -168,10 +178,12 @@
         self._memory.charge(MemoryOwner.RESPONSES, size)
 
     async def read(self) -> BodyStart | None:
-        """Read the whole body if it is short, otherwise its first bytes.
+        """Read the whole body, or as much of it as has come when the response is passed on.
 
-        :returns: None if it is malformed, incomplete after its timeout, or too long to be read whole where
-            it cannot be passed on; the connection must then not be reused.
+        A long body is passed on with its first bytes; the progress may have it passed on before.
+
+        :returns: None if it is malformed, given up, or too long to be read whole where it cannot be passed
+            on; the connection must then not be reused.
         """
         if self.framing is None:
             return None
@@ -179,11 +191,14 @@
         if length is not None and length > max_bytes:
             if not self._may_stream:
                 return None
-            return BodyStart(await self._content.readany(), False)
-        if length is not None and length > MAX_BODY_BYTES_TIGHT:
+            max_bytes = 0
+        elif length is not None and length > MAX_BODY_BYTES_TIGHT:
             self._charge(RESPONSE_COPIES * length)
-        is_whole = await self._read_whole(max_bytes)
-        if is_whole or (length is None and self._may_stream and self._size):
+        if self._progress is None:
+            is_whole = await self._read_unused(max_bytes)
+        else:
+            is_whole = await self._read_held(max_bytes, self._progress)
+        if is_whole or self._is_passed_on:
             return BodyStart(b"".join(self._chunks), is_whole)
         return None
 
@@ -191,37 +206,64 @@
     def _max_whole_bytes(self) -> int:
         return MAX_BODY_BYTES_TIGHT if self._memory.is_tight and self._may_stream else MAX_BODY_BYTES
 
-    async def _read_whole(self, max_bytes: int) -> bool:
-        """Read until the end, the maximum, or the timeout; return whether the body is whole."""
-        assert self.framing is not None
-        has_come = self._content.is_eof()
-        if not has_come and self.framing.length is None and self._may_stream:
-            return await self._read_unknown_length(max_bytes)
-        while self._size <= max_bytes:
-            try:
-                data = await (self._content.readany() if has_come else self._read_timed())
-            except TimeoutError:
-                return False
-            if not data:
-                return True
-            self._add(data)
-        return False
-
-    async def _read_timed(self) -> bytes:
-        async with self._clock.timeout(BODY_TIMEOUT_MS):
-            return await self._content.readany()
+    @property
+    def _is_passed_on(self) -> bool:
+        """Whether a body that is not whole goes to the client."""
+        is_given_up = self._progress is None or self._progress.state is ResponseState.ABANDONED
+        return self._may_stream and not is_given_up
 
-    async def _read_unknown_length(self, max_bytes: int) -> bool:
-        """Read until the end, or until it is certain that the node writes it slowly."""
+    async def _read_unused(self, max_bytes: int) -> bool:
+        """Read a body whose content does not matter; return whether it has come whole in time."""
+        try:
+            async with self._clock.timeout(self._unused_timeout_ms):
+                return await self._read_until_decided(max_bytes)
+        except TimeoutError:
+            return False
+
+    async def _read_held(self, max_bytes: int, progress: ResponseProgress) -> bool:
+        """Read a body until it is whole, written slowly, or no longer held; return whether it is whole."""
+        if self._content.is_eof():
+            return await self._read_until_decided(max_bytes)
+        loop = asyncio.get_running_loop()
+        self._last_bytes_ms = self._clock.now_ms()
+        self._timer = self._clock.call_later(response_hold.SETTLE_MS, self._report_held, progress)
+        try:
+            async with asyncio.timeout(None) as wait:
+                progress.hold(lambda: wait.reschedule(loop.time()), self._may_stream)
+                return await self._read_until_decided(max_bytes)
+        except TimeoutError:
+            return False
+        finally:
+            progress.finish()
+            self._timer.cancel()
+
+    def _report_held(self, progress: ResponseProgress) -> None:
+        self.was_held = True
+        progress.report_held()
+        self._check_for_stall(progress)
+
+    def _check_for_stall(self, progress: ResponseProgress) -> None:
+        """Report a body that does not go on, or look again when it may have stalled."""
+        silent_ms = self._clock.now_ms() - self._last_bytes_ms
+        if silent_ms >= response_hold.STALL_MS:
+            progress.report_stalled()
+        else:
+            remaining_ms = response_hold.STALL_MS - silent_ms
+            self._timer = self._clock.call_later(remaining_ms, self._check_for_stall, progress)
+
+    async def _read_until_decided(self, max_bytes: int) -> bool:
+        """Read until the end, the maximum, or until it is certain that the node writes the body slowly."""
+        assert self.framing is not None
+        is_unknown_length = self.framing.length is None and self._may_stream
         first_ms = math.inf
         while self._size <= max_bytes:
             data = await self._content.readany()
             if not data:
                 return True
             self._add(data)
-            now_ms = self._clock.now_ms()
+            now_ms = self._last_bytes_ms = self._clock.now_ms()
             first_ms = min(first_ms, now_ms)
-            if now_ms - first_ms >= UNKNOWN_LENGTH_WAIT_MS:
+            if is_unknown_length and response_hold.is_written_slowly(first_ms, now_ms):
                 return False
         return False
 
@@ -232,7 +274,12 @@
             self._charge(RESPONSE_COPIES * MAX_BODY_BYTES)
 
 
-async def read_report(headers: Mapping[str, str], content: StreamReader, clock: Clock) -> bytes | None:
-    """Read the short body of a health check; None if it is malformed, too long or incomplete."""
-    start = await BodyReader(headers, content, clock, MemoryAccount(), may_stream=False).read()
+async def read_report(
+    headers: Mapping[str, str], content: StreamReader, clock: Clock, timeout_ms: float
+) -> bytes | None:
+    """Read the short body of a health check; None if it is malformed, too long or incomplete in time."""
+    reader = BodyReader(
+        headers, content, clock, MemoryAccount(), may_stream=False, unused_timeout_ms=timeout_ms
+    )
+    start = await reader.read()
     return start.data if start is not None else None
--- a/shaletiller/policy/outcomes.py
+++ b/shaletiller/policy/outcomes.py
@@ -5,18 +5,17 @@
 import math
 from dataclasses import dataclass
 
-from shaletiller.messages.actions import CancelAttempt, GiveUpReason
+from shaletiller.messages.actions import GiveUpReason
 from shaletiller.messages.events import AttemptEnded, ResponseStarted
 from shaletiller.messages.outcomes import Outcome
 from shaletiller.messages.timers import AttemptOverdueTimer
-from shaletiller.policy.capacity_check import CapacityCheck
 from shaletiller.policy.completion import RequestCompletion
 from shaletiller.policy.dispatch import Dispatcher
 from shaletiller.policy.endpoint_table import EndpointTable
+from shaletiller.policy.hedging import Hedging
 from shaletiller.policy.key_ordering import KeyOrdering
 from shaletiller.policy.latency_threshold import LatencyThreshold, attempt_timeout_ms
-from shaletiller.policy.retries import RetryPolicy
-from shaletiller.settings.model import Idempotency
+from shaletiller.policy.response_hold import ResponseHold
 from shaletiller.state.records import AttemptInFlight, PendingRequest
 from shaletiller.state.runtime import PolicyState
 
@@ -33,8 +32,8 @@
     state: PolicyState
     endpoints: EndpointTable
     threshold: LatencyThreshold
-    capacity: CapacityCheck
-    retries: RetryPolicy
+    hedging: Hedging
+    response_hold: ResponseHold
     dispatcher: Dispatcher
     ordering: KeyOrdering
     completion: RequestCompletion
@@ -65,6 +64,8 @@
             self.completion.finish(pending)
         else:
             self._retry_or_give_up(pending)
+        if pending.attempts_in_flight:
+            self.response_hold.reconsider(pending)
         # A node that has just rejected an attempt is assumed to have no capacity before the next round.
         if event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED):
             self.dispatcher.send_queued(attempt.upstream)
@@ -124,32 +125,12 @@
         if self.state.now_ms <= self.state.resumed_ms:
             return  # this process was suspended; the node may not be slow
         attempt = self.state.attempts.get((timer.request, timer.attempt))
-        if attempt is None or attempt.node != attempt.upstream.node:
+        if attempt is None or attempt.node != attempt.upstream.node or attempt.held_since_ms is not None:
             return
         attempt.upstream.overdue_streak += 1
         if self.state.latency.lost_share < LOST_SHARE_THRESHOLD:
             attempt.upstream.on_time_balance -= 1
             return
         attempt.release_slot()
-        pending, latency = attempt.pending, self.state.latency
-        in_time = self.state.now_ms + latency.expected_ms(pending) <= pending.latency_objective_due_ms
-        if timer.request in self.state.pending and not pending.response_started and in_time:
-            self._hedge(attempt, timer.attempt)
-
-    def _hedge(self, attempt: AttemptInFlight, number: int) -> None:
-        """Send a hedged request in addition to an overdue attempt, which may have been executed.
-
-        See "The Tail at Scale" (J. Dean, L. Barroso, 2013).  If hedging is not allowed, the overdue attempt
-        is cancelled instead, and the outcome of the cancellation triggers a retry.
-        """
-        pending, settings = attempt.pending, self.state.site.settings
-        exhausted = pending.attempts_started >= settings.max_attempts or not self.retries.budget_allows()
-        if exhausted or pending.spec.effect is Idempotency.UNSAFE:
-            return
-        if not settings.hedging_allowed:
-            if settings.cancellation_allowed:
-                self.state.actions.append(CancelAttempt(pending.id, number))
-        elif self.capacity.allows(pending, pending.upstream, ignore_latency=True):
-            pending.possibly_executed = pending.possibly_executed or attempt
-            if self.retries.idempotency_allows(pending):
-                self.dispatcher.send_now(pending)
+        if timer.request in self.state.pending and not attempt.pending.response_started:
+            self.hedging.hedge(attempt, timer.attempt)
--- a/shaletiller/policy/scheduler.py
+++ b/shaletiller/policy/scheduler.py
@@ -20,9 +20,11 @@
 from shaletiller.policy.concurrency_limit import adjust_limit, allocate_slots
 from shaletiller.policy.dispatch import Dispatcher
 from shaletiller.policy.endpoint_table import EndpointTable
+from shaletiller.policy.hedging import Hedging
 from shaletiller.policy.key_ordering import KeyOrdering
 from shaletiller.policy.latency_threshold import LatencyThreshold
 from shaletiller.policy.outcomes import OutcomeHandler
+from shaletiller.policy.response_hold import ResponseHold
 from shaletiller.policy.retries import RetryPolicy
 from shaletiller.policy.volume_limits import VolumeLimits
 from shaletiller.settings.model import Settings
@@ -57,8 +59,10 @@
         self.admission = Admission(
             state, endpoints, limits, capacity, fairness, retries, dispatcher, ordering, completion
         )
+        hedging = Hedging(state, capacity, retries, dispatcher)
+        response_hold = self.response_hold = ResponseHold(state, retries, hedging, dispatcher)
         self.outcomes = OutcomeHandler(
-            state, endpoints, threshold, capacity, retries, dispatcher, ordering, completion
+            state, endpoints, threshold, hedging, response_hold, dispatcher, ordering, completion
         )
 
     @property
@@ -91,12 +95,15 @@
         match event:
             case events.Request():
                 self.admission.handle_request(event)
-            case events.AttemptEnded():
-                self.outcomes.handle_attempt_ended(event)
             case events.TimerExpired(timer=timer):
                 self._handle_timer_expired(timer)
-            case events.ResponseStarted():
-                self.outcomes.handle_response_started(event)
+            case (
+                events.AttemptEnded()
+                | events.ResponseStarted()
+                | events.ResponseHeld()
+                | events.ResponseStalled()
+            ):
+                self._handle_attempt_event(event)
             case events.ClientDisconnected():
                 self.completion.handle_client_disconnected(event.request)
             case events.EndpointListUpdate():
@@ -108,12 +115,28 @@
             case events.HealthCheckEnded() | events.PeerMessageReceived():
                 pass  # these events do not affect any decision
 
+    def _handle_attempt_event(
+        self,
+        event: events.AttemptEnded | events.ResponseStarted | events.ResponseHeld | events.ResponseStalled,
+    ) -> None:
+        match event:
+            case events.AttemptEnded():
+                self.outcomes.handle_attempt_ended(event)
+            case events.ResponseStarted():
+                self.outcomes.handle_response_started(event)
+            case events.ResponseHeld():
+                self.response_hold.handle_held(event)
+            case events.ResponseStalled():
+                self.response_hold.handle_stalled(event)
+
     def _handle_timer_expired(self, timer: timers.Timer) -> None:
         match timer:
             case timers.RoundTimer():
                 self._run_round()
             case timers.AttemptOverdueTimer():
                 self.outcomes.handle_attempt_overdue(timer)
+            case timers.ResponseHoldTimer():
+                self.response_hold.handle_timer(timer)
             case timers.OrderingTimer():
                 self.ordering.admit_next(timer.object_key)
             case timers.WatchRetryTimer():
--- a/shaletiller/state/records.py
+++ b/shaletiller/state/records.py
@@ -185,6 +185,8 @@
     """An attempt whose outcome is not known yet.
 
     :param holds_slot: whether it counts towards the slots and units in flight of its queue and upstream.
+    :param held_since_ms: time at which its response was reported as held; None if it was not.
+    :param can_pass_on: whether its held response can be passed on before it is whole.
     """
 
     pending: PendingRequest
@@ -193,6 +195,8 @@
     zone: str
     sent_ms: float
     holds_slot: bool = True
+    held_since_ms: float | None = None
+    can_pass_on: bool = False
 
     def release_slot(self) -> None:
         """Release the slot, unless the shard has migrated to another node; further calls do nothing."""
