End a request whose long answer the gateway itself refuses, as no failure of its node

Cause: a stream that may not begin was recorded as the attempt's ERROR. Change: the attempt is a success of its node; the request ends there, rejected if a retry is safe, else failed, counted as response_not_begun. Measured: the new test fails without the change (no answer after one attempt); memory tests pass.

--- a/shaletiller/core/record.py
+++ b/shaletiller/core/record.py
@@ -5,10 +5,8 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
-
 from shaletiller.clock import Clock
-from shaletiller.core.metrics import Counters
+from shaletiller.core.metrics import Counters, GuardReason
 from shaletiller.core.model import Attempt, AttemptResult, BodyStream, Exchange, FinalResponse, FinalResult
 from shaletiller.core.respond import Responder
 from shaletiller.messages.events import AttemptEnded, Event
@@ -50,14 +48,14 @@
         """
         if attempt.outcome is not None:
             return
-        if result.stream is not None:
-            result = self._check_stream(exchange, result, result.stream)
         attempt.outcome = result.outcome
         attempt.ended_ms = self._clock.now_ms()
         self._counters.increment(f"attempt.{result.outcome.value}")
         if result.outcome not in NOT_FORWARDED:
             self._counters.increment("forwards")
-        if result.outcome is Outcome.OK:
+        if result.stream is not None and not self._may_begin(exchange, result.stream):
+            self._counters.count_reason(self._respond.give_up(exchange), GuardReason.RESPONSE_NOT_BEGUN)
+        elif result.outcome is Outcome.OK:
             response = FinalResponse(FinalResult.SERVED, result.body, stream=result.stream)
             self._respond(exchange, response)
         elapsed_ms = attempt.ended_ms - attempt.sent_ms
@@ -76,14 +74,19 @@
         )
         self._on_attempt_ended(exchange)
 
-    def _check_stream(self, exchange: Exchange, result: AttemptResult, stream: BodyStream) -> AttemptResult:
-        """Treat a long response as a failed one if it cannot be stored, or passed on to its end."""
+    def _may_begin(self, exchange: Exchange, stream: BodyStream) -> bool:
+        """Whether a response that is not whole can be passed on to its end.
+
+        If not, the request ends with that: its node has served it, and another attempt would end alike.
+        """
+        if exchange.finished:
+            return True  # the responder discards it
         if exchange.on_result is not None:
-            reason = "it is too long to be replicated"
+            reason = "its outcome has to be replicated"
         elif not self._may_begin_stream():
-            reason = "it is not begun, as memory is spent or the process ends"
+            reason = "memory is spent or the process ends"
         else:
-            return result
-        logger.warning("request %s: long response refused: %s", exchange.call.id, reason)
+            return True
+        logger.warning("request %s: response not passed on before it is whole: %s", exchange.call.id, reason)
         stream.close()
-        return msgspec.structs.replace(result, outcome=Outcome.ERROR, body=b"", stream=None)
+        return False
--- a/shaletiller/core/respond.py
+++ b/shaletiller/core/respond.py
@@ -63,14 +63,15 @@
         if exchange.on_result is not None:
             exchange.on_result(None)
 
-    def give_up(self, exchange: Exchange) -> None:
+    def give_up(self, exchange: Exchange) -> FinalResult:
         """Respond to a request for which the scheduler has made no final decision.
 
-        The request is rejected if a retry is safe, otherwise it fails.
+        :returns: REJECTED if a retry is safe, otherwise FAILED.
         """
         retry_is_safe = exchange.idempotent or exchange.never_ran
         result = FinalResult.REJECTED if retry_is_safe else FinalResult.FAILED
         self(exchange, FinalResponse(result), replicated=exchange.replicating_outcome)
+        return result
 
     def _end(self, exchange: Exchange) -> None:
         if exchange.deadline_timer is not None:
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -15,7 +15,7 @@
 from shaletiller.core.engine import Engine
 from shaletiller.core.errors import BadRequestError
 from shaletiller.core.metrics import stats_lines
-from shaletiller.core.model import AttemptResult, ClientCall, Exchange, FinalResponse, FinalResult
+from shaletiller.core.model import AttemptResult, BodyStream, ClientCall, Exchange, FinalResponse, FinalResult
 from shaletiller.core.response_progress import ResponseProgress
 from shaletiller.core.route import Endpoint
 from shaletiller.messages.actions import (
@@ -152,6 +152,27 @@
         self.assertEqual(self.outcomes(), [Outcome.CANCELLED])
         self.assertEqual(self.engine.attempts.in_flight, {})
 
+    async def test_a_response_that_may_not_begin_is_no_failure_of_its_node(self) -> None:
+        """A node's response is long, and memory is spent.
+
+        The read is rejected and the write fails, each after one attempt, and the node has served both.
+        Guards against a node that serves such a request three times, and is taken for one that fails.
+        """
+        for call, result in ((CALL, FinalResult.REJECTED), (WRITE, FinalResult.FAILED)):
+            stream = unittest.mock.Mock(spec=BodyStream)
+            self.engine._record._may_begin_stream = lambda: False
+            await self.submit(call)
+            self.upstream.attempts[-1].set_result(AttemptResult(Outcome.OK, b"begin", stream=stream))
+            await self.settle()
+            self.assertEqual(self.responses.pop(), FinalResponse(result))
+            stream.close.assert_called_once()
+        self.assertEqual((len(self.upstream.attempts), self.outcomes()), (2, [Outcome.OK] * 2))
+        (upstream,) = self.engine._scheduler.endpoints.upstreams()
+        self.assertEqual(upstream.failed_units.rate(self.clock.now_ms()), 0)
+        lines = stats_lines(self.engine.counters, [], {})
+        for name in ("declined", "aborted"):
+            self.assertIn(f"edge.reasons.{name}.response_not_begun=1", lines)
+
     async def test_an_upstream_client_that_fails_counts_as_a_reset(self) -> None:
         """An upstream client raises an unexpected exception.
 
