--- a/shaletiller/lab/cli.py
+++ b/shaletiller/lab/cli.py
@@ -15,6 +15,7 @@
 import typer
 
 from shaletiller.lab import (
+    answer_soak,
     crash_cut,
     discovery_scenarios,
     fleet_scenarios,
@@ -256,6 +257,17 @@
     report_outcome(asyncio.run(shutdown_soak.soak(seeds, typer.echo)), report_path)
 
 
+@app.command("answers")
+def answers(
+    first_seed: Annotated[int, typer.Option(help="seed of the first run")] = 1,
+    runs: Annotated[int, typer.Option(min=1, help="number of runs, each with the next seed")] = 50,
+    report_path: ReportPath = None,
+) -> None:
+    """Pass answers in lumps through gateway processes that are disturbed, with a new plan for each seed."""
+    seeds = range(first_seed, first_seed + runs)
+    report_outcome(asyncio.run(answer_soak.soak(seeds, typer.echo)), report_path)
+
+
 @app.command("variant")
 def site_variant(
     base: Annotated[Path, typer.Option(help="the site file to vary (TOML)")],
--- a/shaletiller/lab/scripted_node.py
+++ b/shaletiller/lab/scripted_node.py
@@ -16,7 +16,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
 END_OF_HEAD = b"\r\n\r\n"
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </seat>\r\n\r\n"
-SILENCE_S = 3600.0
 MAX_RUNS = 100  # of one request
 
 
@@ -71,8 +70,10 @@
     def __init__(self) -> None:
         self.runs: dict[str, list[float]] = defaultdict(list)  # times at which requests came whole, by id
         self.sent: Counter[str] = Counter()  # bytes of answers by request id
+        self.begun: dict[str, float] = {}  # time at which the last head was written, by request id
         self.broken: Counter[str] = Counter()  # answers that the gateway did not take to their end
         self.writers: set[asyncio.StreamWriter] = set()
+        self._closed = asyncio.Event()
 
     async def start(self) -> int:
         """Listen on a port chosen by the kernel, and return it."""
@@ -109,11 +110,13 @@
             writer.write(EARLY_HINTS)
             await asyncio.sleep(int(options["early_ms"]) / 1000)
         writer.write(f"HTTP/1.1 200 OK\r\n{heads.get(form, '')}\r\n".encode())
+        self.begun[name] = time.monotonic()
         await asyncio.sleep(int(options.get("first_ms", 0)) / 1000)
         sent, step = 0, -(-size // pieces)
         while sent < min(size, stop):
             if sent >= silent:
-                await asyncio.sleep(SILENCE_S)
+                await self._closed.wait()
+                return False
             data = answer_bytes(sent, min(step, size - sent, stop - sent))
             writer.write(b"%x\r\n%s\r\n" % (len(data), data) if form == "chunked" else data)
             try:
@@ -139,5 +142,6 @@
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self.server.close()
+        self._closed.set()
         for writer in list(self.writers):
             writer.transport.abort()
--- a/shaletiller/lab/shutdown_soak.py
+++ b/shaletiller/lab/shutdown_soak.py
@@ -9,9 +9,7 @@
 import asyncio
 import contextlib
 import itertools
-import os
 import signal
-import sys
 import tempfile
 import time
 from collections import Counter
@@ -21,6 +19,7 @@
 from random import Random
 from typing import Any
 
+from shaletiller.lab.disturbances import BUSY_PROCESSES, HOLD_UP_S, hold_up, spin_beside
 from shaletiller.lab.gateway_processes import GatewayProcess
 from shaletiller.lab.guarantees import Guarantee, Outcome, count
 from shaletiller.lab.raw_clients import ConnectionEndedError, Ending, RawClient, SentRequest
@@ -31,14 +30,11 @@
 # The platform sends SIGKILL at the earliest min(longest deadline, 3 s) + 0.7 s after SIGTERM.
 MAX_KILL_DEADLINE_S = 3.0
 KILL_GRACE_S = 0.7
-HOLD_UP_S = 0.15
-BUSY_PROCESSES = 3  # which leave a quarter of its core to the gateway
 MAX_ERROR_WAIT_MS = 3000.0  # within which an incomplete request gets its error
 MAX_LATE_S = 0.5  # a later final answer is lost
 WARM_UP_S = 0.4
 LONG_ANSWER = "&size=200000&pieces=10&over_ms=300"
 LARGE_BODY = bytes(60_000)
-SPIN = "import os\nparent = os.getppid()\nwhile os.getppid() == parent:\n    for _ in range(100000): pass\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +117,7 @@
     async def play(self) -> None:
         """Start the gateway, let the clients work, end the gateway, and classify each request."""
         process = await self._start_process()
-        spinners = [await self._spin(process.pid) for _ in range(self._plan.busy)]
+        spinners = [await spin_beside(process.pid) for _ in range(self._plan.busy)]
         tasks = [
             asyncio.create_task(self._guard(behavior))
             for kind, behavior in self._behaviors().items()
@@ -173,16 +169,6 @@
         self._port = process.port
         return process
 
-    @staticmethod
-    async def _spin(pid: int) -> asyncio.subprocess.Process:
-        """Start a busy process on the only core of a gateway."""
-        cores = sorted(os.sched_getaffinity(0))
-        core = cores[os.getpid() % len(cores)]  # soaks beside each other use different ones
-        os.sched_setaffinity(pid, {core})
-        spinner = await asyncio.create_subprocess_exec(sys.executable, "-c", SPIN)
-        os.sched_setaffinity(spinner.pid, {core})
-        return spinner
-
     async def _end_process(self, process: GatewayProcess) -> None:
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
@@ -203,9 +189,7 @@
         if self._plan.held_up_at_s is None:
             return
         await asyncio.sleep(self._plan.held_up_at_s)
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(HOLD_UP_S)
-        process.send_signal(signal.SIGCONT)
+        await hold_up(process)
 
     @staticmethod
     async def _guard(behavior: Callable[[], Awaitable[None]]) -> None:
--- a/tests/net/test_held_answers_process.py
+++ b/tests/net/test_held_answers_process.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from shaletiller.lab.answer_reader import read_answer
 from shaletiller.lab.scripted_node import answer_bytes, encode_head
-from tests.net.test_long_answers_process import FORMS, TIMEOUT_S, read_answer
+from tests.net.test_long_answers_process import FORMS, TIMEOUT_S
 from tests.support.gateway_under_load import LOAD_SETTINGS, LoadedGateway
 
 MEMORY_MB = 80
--- a/tests/net/test_long_answers_process.py
+++ b/tests/net/test_long_answers_process.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from shaletiller.lab.answer_reader import READ_BYTES, read_answer
 from shaletiller.lab.scripted_node import answer_bytes, encode_head
 from tests.support.gateway_under_load import LoadedGateway
 
@@ -16,31 +17,6 @@
 LONGEST_BYTES = 32 * 1024 * 1024
 FORMS = ("length", "chunked", "close")
 TIMEOUT_S = 30.0
-READ_BYTES = 16 * 1024
-
-
-async def read_answer(reader: asyncio.StreamReader, pause_s: float = 0.0) -> tuple[int, bytes, bool]:
-    """Read an answer; return its status, what came of its body, and whether the body came whole."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode()
-    body, whole = bytearray(), False
-    try:
-        if "Transfer-Encoding: chunked" in head:
-            while size := int(await reader.readline(), 16):
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readexactly(2)
-        elif "Content-Length: " in head:
-            length = int(head.split("Content-Length: ")[1].split("\r\n")[0])
-            while len(body) < length and (data := await reader.read(READ_BYTES)):
-                body += data
-                await asyncio.sleep(pause_s)
-            return int(head.split()[1]), bytes(body), len(body) == length
-        else:
-            while data := await reader.read(READ_BYTES):
-                body += data
-        whole = True
-    except (OSError, ValueError, asyncio.IncompleteReadError):
-        pass
-    return int(head.split()[1]), bytes(body), whole
 
 
 async def ask(
--- a/tests/support/gateway_under_load.py
+++ b/tests/support/gateway_under_load.py
@@ -64,9 +64,10 @@
 
     async def __aenter__(self) -> LoadedGateway:
         self._folder = tempfile.TemporaryDirectory()
+        self.node_ports = [await node.start() for node in self.nodes]
         rows = [
-            {"id": f"n{shard}", "addr": f"127.0.0.1:{await node.start()}", "zone": "a", "cell": shard}
-            for shard, node in enumerate(self.nodes)
+            {"id": f"n{shard}", "addr": f"127.0.0.1:{port}", "zone": "a", "cell": shard}
+            for shard, port in enumerate(self.node_ports)
         ]
         self.process = GatewayProcess(
             "g1",
