--- a/tests/memory/test_memory_process.py
+++ b/tests/memory/test_memory_process.py
@@ -17,6 +17,7 @@
 BODY_BYTES = 60_000
 TROUBLE_S = 4.0
 WAVES, WAVE_CLIENTS = 4, 900
+RECONNECTING_CLIENTS = 10  # usual ones that open a connection for each request
 # The resident memory of an idle process, with its file pages, exceeds smaller limits.
 MIN_RESIDENT_LIMIT_MB = 64
 MAX_LATE_S = 0.5  # a later final answer is lost
@@ -169,7 +170,7 @@
 
 async def run_waves(memory_mb: float) -> LoadedGateway:
     async with LoadedGateway(memory_mb) as gateway:
-        gateway.start_usual_clients()
+        gateway.start_usual_clients(RECONNECTING_CLIENTS)
         await asyncio.sleep(0.5)
         for _ in range(WAVES):
             await run_clients(gateway, WAVE_TROUBLES, WAVE_CLIENTS)
--- a/tests/support/gateway_under_load.py
+++ b/tests/support/gateway_under_load.py
@@ -128,31 +128,36 @@
                 writer.transport.abort()
         self._writers = list(self._usual_writers)
 
-    def start_usual_clients(self) -> None:
-        """Let clients send one small request after the other until the end."""
-        for number in range(USUAL_CLIENTS):
-            self._tasks.append(asyncio.create_task(self._usual_client(number)))
+    def start_usual_clients(self, reconnecting: int = 0) -> None:
+        """Let clients send one small request after the other until the end.
 
-    async def _usual_client(self, number: int) -> None:
-        reader, writer = await self._connect_usual_client()
+        :param reconnecting: number of further clients, which open a connection for each request.
+        """
+        for number in range(USUAL_CLIENTS + reconnecting):
+            self._tasks.append(asyncio.create_task(self._usual_client(number, number >= USUAL_CLIENTS)))
+
+    async def _usual_client(self, number: int, reconnects: bool) -> None:
         method = "GET" if number % 2 else "PUT"
+        connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         while True:
+            began_s = time.monotonic()
+            headers = {"connection": "close"}
+            connection = connection or await self._connect_usual_client()
+            reader, writer = connection
             body = b"seat 12A" if method == "PUT" else b""
             length = len(body) if body else None
             writer.write(encode_head(method, length, "", number % NODES, USUAL_TIMEOUT_MS) + body)
-            sent_s = time.monotonic()
             try:
                 async with asyncio.timeout(2 * USUAL_TIMEOUT_MS / 1000):
                     line, headers, _ = await read_message(reader)
                 self.measured.statuses[int(line.split()[1])] += 1
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 self.measured.statuses[0] += 1
-                headers = {"connection": "close"}
-            self.measured.latencies_s.append(time.monotonic() - sent_s)
-            if headers.get("connection") == "close":
+            self.measured.latencies_s.append(time.monotonic() - began_s)
+            if reconnects or headers.get("connection") == "close":
                 writer.close()
                 self._usual_writers.discard(writer)
-                reader, writer = await self._connect_usual_client()
+                connection = None
             await asyncio.sleep(USUAL_PAUSE_S)
 
     async def _connect_usual_client(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
