Reject the longest waiting new clients at the connection limit, instead of letting them queue

Cause: at the connection limit nothing is accepted, and the kernel's queue is first come, first served: its clients wait behind hundreds that send slowly, and nobody knows how long. Change: an eighth of the limit is left to connections that wait to be started or are rejected. They wait for 0.75 s at most, as those without memory did; if the kernel has more, the one that has waited longest and has sent something is rejected at once, but no health check.

--- a/shaletiller/net/connection_limits.py
+++ b/shaletiller/net/connection_limits.py
@@ -59,10 +59,13 @@
 # Ratio of the connection limit that others have to hold for regularly used connections to stay open near it.
 OTHER_USE_RATIO = 0.1
 MIN_CONNECTIONS = 64  # that are started even if there is no memory
-# Time for which an accepted connection waits for memory before its request is rejected; clients have timeouts
-# of about a second.
-MAX_MEMORY_WAIT_MS = 750.0
-MEMORY_POLL_MS = 10.0  # interval between attempts to start such a connection
+# Ratio of the connection limit that is left to connections which wait to be started, or are rejected: in the
+# kernel's queue, a client would wait for its answer behind all others.
+WAITING_RATIO = 0.125
+# Time for which an accepted connection waits for memory, or for another one to end, before its request is
+# rejected; clients have timeouts of about a second.
+MAX_START_WAIT_MS = 750.0
+START_POLL_MS = 10.0  # interval between attempts to start such a connection
 
 
 class HeadLimits(TypedDict):
--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -50,6 +50,16 @@
         """Return the number of connections that count against the limit."""
         return len(self.open) + len(self.half_closed)
 
+    @property
+    def max_started(self) -> int:
+        """How many connections are started; the others of the limit wait for that, or are rejected."""
+        return self.max_connections - int(self.max_connections * limits.WAITING_RATIO)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a connection has to end before another one is started."""
+        return len(self) >= self.max_started
+
     def add(self, connection: ClientConnection) -> None:
         """Add an open connection."""
         self.open[connection] = None
--- a/shaletiller/net/listener.py
+++ b/shaletiller/net/listener.py
@@ -63,7 +63,7 @@
 
 
 class Listener:
-    """Accepts connections up to a limit; further connections wait in the kernel's accept queue."""
+    """Accepts connections up to a limit, and starts most of them; the others wait, or are rejected."""
 
     def __init__(
         self,
@@ -175,7 +175,7 @@
             if self.connections >= self.table.max_connections:
                 if not is_readable(self._socket):
                     break
-                if not self._evict_connection():
+                if not self._evict_connection() and not self._reject_oldest_waiting():
                     self._pause_accepting()
                     break
             try:
@@ -211,10 +211,19 @@
         """Close one connection that may be evicted; False if there is none."""
         return self.overload.evict() or self.table.evict(self.clock.now_ms())
 
+    def _reject_oldest_waiting(self) -> bool:
+        """Reject the request that has waited longest to be started, in favor of one in the kernel's queue.
+
+        There, nobody would know how long it waits.
+        """
+        if not self.overload.reject_oldest(self.accept_queue):
+            return False
+        return self.connections < self.table.max_connections or self.overload.evict()
+
     def _start_connections(self) -> None:
         """Start a batch of accepted connections, reject stale ones, and schedule the next batch."""
         now_ms = self.clock.now_ms()
-        if self._lacks_memory_for_connections(now_ms):
+        if self._must_connections_wait(now_ms):
             self._let_connections_wait(now_ms)
             return
         overloaded = self.accept_queue.is_overloaded(now_ms)
@@ -228,20 +237,21 @@
         if self._start_scheduled:
             asyncio.get_running_loop().call_soon(self._start_connections)
 
-    def _lacks_memory_for_connections(self, now_ms: float) -> bool:
+    def _must_connections_wait(self, now_ms: float) -> bool:
         """Whether no connection can be started, and none that is open may give way."""
-        if not self.memory.has_too_many_connections or len(self.table.open) < limits.MIN_CONNECTIONS:
+        lacks_memory = self.memory.has_too_many_connections and len(self.table.open) >= limits.MIN_CONNECTIONS
+        if not lacks_memory and not self.table.is_full:
             return False
         return not self.table.evict(now_ms)
 
     def _let_connections_wait(self, now_ms: float) -> None:
-        """Leave accepted connections in the queue; reject those that have waited too long for memory."""
-        waited_ms = limits.MAX_MEMORY_WAIT_MS
+        """Leave accepted connections in the queue; reject those that have waited too long."""
+        waited_ms = limits.MAX_START_WAIT_MS
         for accepted in self.overload.reject_stale(self.accept_queue, now_ms, waited_ms):
             self._start_connection(accepted)
         self._start_scheduled = len(self.accept_queue) > 0
         if self._start_scheduled:
-            self.clock.call_later(limits.MEMORY_POLL_MS, self._start_connections)
+            self.clock.call_later(limits.START_POLL_MS, self._start_connections)
 
     def _start_connection(self, accepted: AcceptedSocket) -> None:
         connection = self._server()
--- a/shaletiller/net/overload_control.py
+++ b/shaletiller/net/overload_control.py
@@ -63,6 +63,14 @@
         """Take the newest connection."""
         return self._sockets.pop()
 
+    def oldest_first(self) -> tuple[AcceptedSocket, ...]:
+        """Return the queued connections in order of arrival."""
+        return tuple(self._sockets)
+
+    def remove(self, accepted: AcceptedSocket) -> None:
+        """Take a connection out of the queue."""
+        self._sockets.remove(accepted)
+
     def is_overloaded(self, now_ms: float) -> bool:
         """Whether the queue has been nonempty for `OVERLOAD_AFTER_MS` without interruption."""
         return now_ms - self._nonempty_since_ms >= limits.OVERLOAD_AFTER_MS
@@ -99,6 +107,14 @@
         self._sockets.extendleft(reversed(accepted))
 
 
+def _peek(sock: socket.socket) -> bytes:
+    """Return what a client has sent, without reading it; empty if it has sent nothing or has left."""
+    try:
+        return sock.recv(limits.MAX_READ_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
 def _ignore_rejection(head: bytes) -> None:
     """Ignore a rejected request; the default of `on_rejected`."""
 
@@ -161,12 +177,19 @@
                 accepted.sock.close()
         queue.put_back(silent)
 
+    def reject_oldest(self, queue: AcceptQueue) -> bool:
+        """Reject the oldest queued request, but no health check; False if there is none."""
+        for accepted in queue.oldest_first():
+            head = _peek(accepted.sock)
+            if head and not head.startswith(HEALTH_CHECK_HEAD):
+                queue.remove(accepted)
+                self.reject(accepted.sock, head)
+                return True
+        return False
+
     def reject_or_close(self, accepted: AcceptedSocket) -> None:
         """End a connection that will not be started: reject its request, or close it if it has sent none."""
-        try:
-            head = accepted.sock.recv(limits.MAX_READ_BYTES, socket.MSG_PEEK)
-        except OSError:
-            head = b""
+        head = _peek(accepted.sock)
         if head:
             self.reject(accepted.sock, head)
         else:
