Name the request in each line on a broken answer, and tell operators of held answers

Timeouts, errors and resets of attempts, breaks of relayed answers, and rejections and failures after an attempt are logged with their id; the report's requests had no line.

--- a/shaletiller/core/engine.py
+++ b/shaletiller/core/engine.py
@@ -413,7 +413,8 @@
         if exchange is None or exchange.finished:
             return
         self.counters.count_reason(response.result, reason)
-        logger.debug("request %s: %s: %s", request_id, response.result.name.lower(), reason)
+        level = logging.INFO if exchange.attempts else logging.DEBUG  # without an attempt it is load shedding
+        logger.log(level, "request %s: %s: %s", request_id, response.result.name.lower(), reason)
         self.respond(exchange, response)
 
     def _cancel_attempt(self, action: CancelAttempt) -> None:
--- a/shaletiller/core/record.py
+++ b/shaletiller/core/record.py
@@ -16,6 +16,8 @@
 
 # Outcomes of attempts whose request was not completely sent to a storage node.
 NOT_FORWARDED = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+# Outcomes that are logged; the others are expected under load, or as clients leave.
+LOGGED = (Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET)
 
 
 class OutcomeRecorder:
@@ -59,6 +61,15 @@
             response = FinalResponse(FinalResult.SERVED, result.body, stream=result.stream)
             self._respond(exchange, response)
         elapsed_ms = attempt.ended_ms - attempt.sent_ms
+        if result.outcome in LOGGED:
+            logger.info(
+                "request %s: attempt %d at node %s ended after %.0f ms: %s",
+                exchange.call.id,
+                attempt.number,
+                attempt.node,
+                elapsed_ms,
+                result.outcome.value,
+            )
         self._notify(
             AttemptEnded(
                 request=exchange.call.id,
--- a/shaletiller/net/http_server.py
+++ b/shaletiller/net/http_server.py
@@ -198,7 +198,9 @@
             if response.stream is None:
                 connection.send_response(self._encode_response(response, close), close)
             else:
-                connection.relay_response(self._make_relay(response, response.stream, head.version, close))
+                request_id = head.headers.get("Request-Id", "")
+                relay = self._make_relay(request_id, response, response.stream, head.version, close)
+                connection.relay_response(relay)
 
         try:
             queued_ms = self._clock.now_ms() - times.read_ms if times is not None else 0.0
@@ -227,10 +229,16 @@
         return f"{lines}\r\n".encode() + response.body
 
     def _make_relay(
-        self, response: FinalResponse, stream: BodyStream, version: HttpVersion, close: bool
+        self,
+        request_id: str,
+        response: FinalResponse,
+        stream: BodyStream,
+        version: HttpVersion,
+        close: bool,
     ) -> ResponseRelay:
         status, _ = self._status_and_retry_after(response)
-        return ResponseRelay(_encode_status(status) + CONTENT_TYPE, response.body, stream, version, close)
+        head = _encode_status(status) + CONTENT_TYPE
+        return ResponseRelay(request_id, head, response.body, stream, version, close)
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         """Serve a request that the fast path declined; client errors close the connection."""
@@ -264,7 +272,9 @@
         connection: ClientConnection,
     ) -> StreamResponse:
         close = self._must_close(connection)
-        return RelayedResponse(self._make_relay(response, stream, request.version, close), connection)
+        request_id = request.headers.get("Request-Id", "")
+        relay = self._make_relay(request_id, response, stream, request.version, close)
+        return RelayedResponse(relay, connection)
 
     def _health_check(self, connection: ClientConnection) -> Response:
         up = self._is_ready() and not self._listener.draining
--- a/shaletiller/net/response_relay.py
+++ b/shaletiller/net/response_relay.py
@@ -34,6 +34,7 @@
 class ResponseRelay:
     """One response that is passed on.
 
+    :param request_id: id of the request, for the log.
     :param head: its head without the framing of the body, `Connection` and the empty line.
     :param first: the beginning of its body.
     :param version: HTTP version of the client's request; 1.0 has no chunked encoding.
@@ -41,8 +42,15 @@
     """
 
     def __init__(
-        self, head: str, first: bytes, stream: BodyStream, version: HttpVersion, close: bool
+        self,
+        request_id: str,
+        head: str,
+        first: bytes,
+        stream: BodyStream,
+        version: HttpVersion,
+        close: bool,
     ) -> None:
+        self._request_id = request_id
         self._head = head
         self._first = first
         self._stream = stream
@@ -64,7 +72,12 @@
             if self._chunked:
                 await connection.write_piece(LAST_CHUNK)
         except (ResponseBrokenError, TimeoutError, OSError) as error:
-            logger.warning("response broken off after %d bytes of its body: %s", sent, error)
+            logger.warning(
+                "request %s: response broken off after %d bytes of its body: %s",
+                self._request_id,
+                sent,
+                error,
+            )
             connection.reset(EndReason.BROKEN_RESPONSE)
             raise ConnectionResetError(str(error)) from error
         except BaseException:
