--- a/tests/core/test_response_hold.py
+++ b/tests/core/test_response_hold.py
@@ -260,3 +260,22 @@
 ) -> None:
     """Guards against timers, retries and hedged requests that end a response whose head has come."""
     assert every_order(Case(framing, call, hedging)) >= MIN_ORDERS
+
+
+@pytest.mark.parametrize(("call", "attempts"), [(READ, 2), (WRITE, 1)], ids=["read", "write"])
+def test_a_response_that_is_of_use_only_whole_is_given_up_for_a_retry_alone(
+    call: ClientCall, attempts: int
+) -> None:
+    """Guards against a write that fails, and a read that waits, as a body pauses that cannot be passed on."""
+
+    async def play() -> None:
+        run = Run(Case("length", msgspec.structs.replace(call, accepts_stream=False), False))
+        await run.settle()
+        for event in ("head", "part", "stall"):
+            await run.play(event, 0)
+        assert len(run.upstream.nodes) == attempts
+        while not run.responses:
+            await run.play(run.upstream.nodes[-1].possible_events()[0], attempts - 1)
+        assert run.responses == [FinalResponse(FinalResult.SERVED, BODY)]
+
+    asyncio.run(play())
