Start no more connections in one turn than the limit of started ones leaves

A fault of, found by reading it again: for each connection that gave way, up to four were started, so that those which wait could lose their part of the connection limit.

--- a/shaletiller/net/connection_table.py
+++ b/shaletiller/net/connection_table.py
@@ -56,9 +56,9 @@
         return self.max_connections - int(self.max_connections * limits.WAITING_RATIO)
 
     @property
-    def is_full(self) -> bool:
-        """Whether a connection has to end before another one is started."""
-        return len(self) >= self.max_started
+    def startable(self) -> int:
+        """How many connections may be started before one has to end."""
+        return max(0, self.max_started - len(self))
 
     def add(self, connection: ClientConnection) -> None:
         """Add an open connection."""
--- a/shaletiller/net/listener.py
+++ b/shaletiller/net/listener.py
@@ -227,7 +227,7 @@
             self._let_connections_wait(now_ms)
             return
         overloaded = self.accept_queue.is_overloaded(now_ms)
-        for accepted in self.accept_queue.take_batch(overloaded):
+        for accepted in self.accept_queue.take_batch(overloaded, max(1, self.table.startable)):
             self._start_connection(accepted)
         if overloaded:
             for accepted in self.overload.reject_stale(self.accept_queue, now_ms):
@@ -240,7 +240,7 @@
     def _must_connections_wait(self, now_ms: float) -> bool:
         """Whether no connection can be started, and none that is open may give way."""
         lacks_memory = self.memory.has_too_many_connections and len(self.table.open) >= limits.MIN_CONNECTIONS
-        if not lacks_memory and not self.table.is_full:
+        if not lacks_memory and self.table.startable:
             return False
         return not self.table.evict(now_ms)
 
--- a/shaletiller/net/overload_control.py
+++ b/shaletiller/net/overload_control.py
@@ -79,13 +79,14 @@
         """Record whether the queue is empty; called after each batch."""
         self._nonempty_since_ms = min(self._nonempty_since_ms, now_ms) if self._sockets else math.inf
 
-    def take_batch(self, overloaded: bool) -> Iterator[AcceptedSocket]:
+    def take_batch(self, overloaded: bool, most: int = limits.STARTS_PER_TURN) -> Iterator[AcceptedSocket]:
         """Take the next batch of connections to start, and close those whose client has disconnected.
 
+        :param most: how many may be started.
         :param overloaded: take only the newest connections; old ones are rejected.
         """
         count = 0
-        while self._sockets and count < limits.STARTS_PER_TURN:
+        while self._sockets and count < min(limits.STARTS_PER_TURN, most):
             oldest = count % 2 and not overloaded
             accepted = self._sockets.popleft() if oldest else self._sockets.pop()
             if peer_has_closed(accepted.sock):
