--- a/shaletiller/lab/answer_soak.py
+++ b/shaletiller/lab/answer_soak.py
@@ -179,6 +179,7 @@
             await asyncio.gather(*disturbances, return_exceptions=True)
             for spinner in spinners:
                 spinner.kill()
+                await spinner.wait()
             await process.kill()
             for node in self._nodes:
                 node.close()
